--- /dev/null
+++ b/cmd/hsctl/main.go
@@ -0,0 +1,12 @@
+// Command hsctl checks and explains manifests for operators.
+package main
+
+import (
+	"os"
+
+	"heatherstack.org/heatherstack/internal/hsctl"
+)
+
+func main() {
+	os.Exit(hsctl.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/internal/hsentry/admin.go
@@ -0,0 +1,173 @@
+package hsentry
+
+import (
+	"context"
+	"encoding/json"
+	"expvar"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+	"golang.org/x/sync/errgroup"
+
+	"heatherstack.org/heatherstack/internal/hscode"
+	"heatherstack.org/heatherstack/internal/hsrank"
+)
+
+// Status is what the status page shows.
+type Status struct {
+	Name    string
+	Zone    string
+	Boot    uint64
+	Version uint64
+	// Manifest's digest, hexadecimal.
+	Digest  string
+	Since   time.Time
+	Reader  bool
+	Paused  bool
+	Flows   int
+	Members map[string]hsrank.Status
+	// Open flows by target homed here.
+	Homes    map[string]int
+	Counters map[string]uint64
+}
+
+const headerTimeout = 5 * time.Second
+
+func (e *Entry) runAdmin(ctx context.Context) error {
+	if e.sockets.admin == nil {
+		<-ctx.Done()
+		return nil
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /status", e.serveStatus)
+	mux.HandleFunc("GET /debug/vars", e.serveVars)
+	return serve(ctx, e.sockets.admin, mux)
+}
+
+// serve answers HTTP on l until ctx ends.
+func serve(ctx context.Context, l net.Listener, h http.Handler) error {
+	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error {
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+			return errors.Trace(err)
+		}
+		return nil
+	})
+	g.Go(func() error {
+		<-ctx.Done()
+		return errors.Trace(server.Close())
+	})
+	return g.Wait()
+}
+
+// Status asks the tasks for their status.
+func (e *Entry) Status(ctx context.Context) (Status, bool) {
+	fromSwitch := make(chan SwitchStatus, 1)
+	sw, ok := ask(ctx, e.toSwitch, switchMessage{status: fromSwitch}, fromSwitch)
+	if !ok {
+		return Status{}, false
+	}
+	fromControl := make(chan ControlStatus, 1)
+	ctl, ok := ask(ctx, e.toControl, controlMessage{kind: statusMessage, status: fromControl}, fromControl)
+	if !ok {
+		return Status{}, false
+	}
+	return e.merge(&sw, &ctl), true
+}
+
+func (e *Entry) merge(sw *SwitchStatus, ctl *ControlStatus) Status {
+	st := Status{
+		Name:     e.cfg.Settings.Name,
+		Zone:     e.cfg.Settings.Zone,
+		Boot:     e.cfg.Boot,
+		Version:  ctl.Version,
+		Digest:   fmt.Sprintf("%016x", ctl.Digest),
+		Since:    ctl.Since,
+		Reader:   ctl.Reader,
+		Paused:   sw.Paused,
+		Flows:    sw.Flows,
+		Members:  ctl.Members,
+		Homes:    map[string]int{},
+		Counters: counters(sw, ctl),
+	}
+	if ctl.View == nil {
+		return st
+	}
+	for _, l := range sw.Loads {
+		if n, ok := ctl.View.TargetByID(l.Target); ok {
+			st.Homes[ctl.View.Manifest.Targets[n].Name] = l.Flows
+		}
+	}
+	return st
+}
+
+func counters(sw *SwitchStatus, ctl *ControlStatus) map[string]uint64 {
+	s := &sw.Stats
+	out := map[string]uint64{
+		"flow_opened":      s.Opened,
+		"flow_diverted":    s.Diverted,
+		"flow_recovered":   s.Recovered,
+		"flow_silent":      s.Silent,
+		"flow_reset":       s.Resets,
+		"packet_forwarded": s.Forwarded,
+		"packet_delivered": s.Delivered,
+		"packet_replied":   s.Replies,
+		"ask_sent":         s.Asks,
+		"ask_claimed":      s.Claims,
+		"trial_started":    s.Trials,
+		"handover_out":     s.HandedOut,
+		"handover_in":      s.HandedIn,
+		"control_sent":     ctl.Sent,
+		"control_received": ctl.Received,
+	}
+	for _, counts := range []map[hscode.Code]uint64{sw.Counts, ctl.Counts} {
+		for code, n := range counts {
+			out[fmt.Sprintf("code_%d", uint16(code))] += n
+		}
+	}
+	return out
+}
+
+func (e *Entry) serveStatus(w http.ResponseWriter, r *http.Request) {
+	st, ok := e.Status(r.Context())
+	if !ok {
+		http.Error(w, "stopping", http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	_ = enc.Encode(st)
+}
+
+// serveVars serves the counters in the form of expvar, with the variables that
+// expvar itself publishes.
+func (e *Entry) serveVars(w http.ResponseWriter, r *http.Request) {
+	st, ok := e.Status(r.Context())
+	if !ok {
+		http.Error(w, "stopping", http.StatusServiceUnavailable)
+		return
+	}
+	vars := new(expvar.Map).Init()
+	for name, n := range st.Counters {
+		v := new(expvar.Int)
+		v.Set(int64(n))
+		vars.Set(name, v)
+	}
+	flows := new(expvar.Int)
+	flows.Set(int64(st.Flows))
+	vars.Set("flow_held", flows)
+	version := new(expvar.Int)
+	version.Set(int64(st.Version))
+	vars.Set("manifest_version", version)
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = fmt.Fprintf(w, "{\"heatherstack\": %s", vars.String())
+	expvar.Do(func(kv expvar.KeyValue) {
+		_, _ = fmt.Fprintf(w, ",\n%q: %s", kv.Key, kv.Value)
+	})
+	_, _ = fmt.Fprintln(w, "}")
+}
--- /dev/null
+++ b/internal/hshome/caller.go
@@ -0,0 +1,300 @@
+package hshome
+
+import (
+	"heatherstack.org/heatherstack/internal/hscode"
+	"heatherstack.org/heatherstack/internal/hsflow"
+	"heatherstack.org/heatherstack/internal/hsmanifest"
+	"heatherstack.org/heatherstack/internal/hspacket"
+	"heatherstack.org/heatherstack/internal/hsrank"
+)
+
+const (
+	// silentAfter is the time in ms that caller data stays without a reply
+	// before the flow counts as silent.
+	silentAfter = 1000
+	// aliveWithin is the time in ms within which the target must have sent
+	// something for others, so that the flow and not the target is silent.
+	aliveWithin = 1000
+)
+
+// fromCaller takes a caller's packet as home of first, its first choice.
+func (c *Core) fromCaller(x *context, s *hsrank.Service, first uint32, hops uint8) {
+	f := c.flows.Get(&x.key, x.hash)
+	if f == nil || (x.p.Seg.Opens() && f.reusable()) {
+		c.unknown(x, s, first, hops)
+		return
+	}
+	c.onFlow(x, s, f, hops)
+}
+
+// reusable reports whether a SYN starts a new connection in place of f.
+func (f *flow) reusable() bool {
+	return f.phase == closed || f.marks&(finCaller|finTarget) != 0
+}
+
+// onFlow takes a caller's packet of a flow that is held here.
+func (c *Core) onFlow(x *context, s *hsrank.Service, f *flow, hops uint8) {
+	if f.phase == asking {
+		c.hold(x)
+		return
+	}
+	if f.phase == trying {
+		c.hold(x)
+		c.tryOn(x, f, hops)
+		return
+	}
+	at := c.targets[f.target].at
+	if at < 0 || !s.Serves(at) {
+		c.gone(x, s, f)
+		return
+	}
+	if x.p.Proto == hsflow.TCP && c.doubtful(x, f) {
+		c.recover(x, s, f)
+		return
+	}
+	f.noteCaller(c.now, x.p.Seg)
+	if f.phase == opening && f.marks&markReply != 0 && x.p.Seg.Flags.Has(hspacket.ACK) {
+		c.setPhase(f, open)
+	}
+	c.deliver(x, f, hops)
+	c.closeByCaller(x, f)
+}
+
+func (c *Core) closeByCaller(x *context, f *flow) {
+	if x.p.Seg.Flags.Has(hspacket.RST) || f.ended() {
+		c.setPhase(f, closed)
+	}
+}
+
+// gone handles a flow whose target does not serve the service any more. The
+// packet must reach no other service, so the caller is told.
+func (c *Core) gone(x *context, s *hsrank.Service, f *flow) {
+	code := hscode.FlowTargetGone
+	if s.Moved {
+		code = hscode.FlowAddressMoved
+	}
+	c.refuse(x, code)
+	c.setPhase(f, closed)
+	f.seen = c.now
+}
+
+// doubtful reports whether the flow's target is probably not the one that the
+// caller talks to: the handshake was finished with another one, or the flow is
+// silent while the target answers others.
+func (c *Core) doubtful(x *context, f *flow) bool {
+	seg := x.p.Seg
+	if seg.Opens() || seg.Flags.Has(hspacket.RST) || c.home(f.target) != c.self() {
+		return false
+	}
+	if f.phase == opening && seg.Flags.Has(hspacket.ACK) {
+		// Its home sees a target's SYN-ACK before the caller does, so an
+		// acknowledgement of something else was earned elsewhere.
+		if f.marks&markReply == 0 {
+			return true
+		}
+		ahead := seg.Ack - (f.isn + 1)
+		return ahead > maxAhead
+	}
+	if f.phase != open || seg.Len == 0 || f.unanswered == 0 {
+		return false
+	}
+	silent := c.now-f.unanswered > silentAfter
+	alive := c.now-c.targets[f.target].heard < aliveWithin
+	if silent && alive {
+		c.Stats.Silent++
+		f.unanswered = c.now
+		return true
+	}
+	return false
+}
+
+// unknown takes a caller's packet of a flow that is not held here.
+func (c *Core) unknown(x *context, s *hsrank.Service, first uint32, hops uint8) {
+	switch {
+	case x.p.Proto == hsflow.UDP && !c.mustAsk(x, s, first):
+		c.openFlow(x, s, first, hops)
+	case x.p.Proto == hsflow.UDP:
+		if f := c.put(x, first, asking); f != nil {
+			c.recover(x, s, f)
+		}
+	case x.p.Seg.Opens():
+		c.openFlow(x, s, first, hops)
+	case x.p.Seg.Flags.Has(hspacket.RST):
+		c.resetAll(x, s)
+	default:
+		if f := c.put(x, first, asking); f != nil {
+			c.recover(x, s, f)
+		}
+	}
+}
+
+// mustAsk reports whether a datagram without an entry may belong to a flow
+// that another host knows.
+func (c *Core) mustAsk(x *context, s *hsrank.Service, first uint32) bool {
+	if !c.sure(first, x.p.Proto) {
+		return true
+	}
+	var room [hsrank.MaxCandidates]int
+	cands := c.view.Candidates(s, x.hash, room[:0])
+	var choices [hsrank.MaxCandidates]int
+	return len(cands) > len(c.view.Choices(s, x.hash, choices[:0]))
+}
+
+// resetAll delivers a caller's RST of an unknown flow to every candidate. Only
+// the target that holds the connection finds its sequence number right.
+func (c *Core) resetAll(x *context, s *hsrank.Service) {
+	var room [hsrank.MaxCandidates]int
+	for _, t := range c.view.Candidates(s, x.hash, room[:0]) {
+		c.emit(Output{Kind: ToTarget, Addr: c.view.Targets[t].Address, Data: x.data})
+	}
+}
+
+// openFlow places a new flow on the emptier of its two choices.
+func (c *Core) openFlow(x *context, s *hsrank.Service, first uint32, hops uint8) {
+	if c.paused {
+		c.count(hscode.FlowPaused)
+		return
+	}
+	n, ok := c.choose(x, s, first)
+	if !ok {
+		c.refuse(x, hscode.FlowFull)
+		return
+	}
+	f := c.put(x, n, opening)
+	if f == nil {
+		return
+	}
+	c.Stats.Opened++
+	if n != first {
+		c.Stats.Diverted++
+	}
+	if c.home(n) != c.self() {
+		c.targets[n].reported++
+	}
+	f.noteCaller(c.now, x.p.Seg)
+	c.deliver(x, f, hops)
+}
+
+// choose returns the emptier of a new flow's first two choices, or false if
+// both are full.
+func (c *Core) choose(x *context, s *hsrank.Service, first uint32) (uint32, bool) {
+	best := first
+	var room [hsrank.MaxCandidates]int
+	for _, t := range c.view.Choices(s, x.hash, room[:0]) {
+		n := c.ofView[t]
+		if n == first {
+			continue
+		}
+		if c.emptier(n, first) {
+			best = n
+		}
+		break
+	}
+	at := c.targets[best].at
+	return best, c.fill(best) < c.view.Targets[at].Connections
+}
+
+// emptier reports whether a has more room than b for its weight.
+func (c *Core) emptier(a, b uint32) bool {
+	ta := &c.view.Targets[c.targets[a].at]
+	tb := &c.view.Targets[c.targets[b].at]
+	if !tb.Live {
+		return ta.Live
+	}
+	return ta.Live && uint64(c.fill(a))*uint64(tb.Weight) < uint64(c.fill(b))*uint64(ta.Weight)
+}
+
+// put holds the flow with target n, or returns nil if the table is full.
+func (c *Core) put(x *context, n uint32, p phase) *flow {
+	f := c.flows.Get(&x.key, x.hash)
+	if f == nil && c.flows.Len() >= c.cfg.MaxFlows {
+		c.refuse(x, hscode.FlowTableFull)
+		return nil
+	}
+	if f != nil {
+		c.release(f)
+	}
+	f = c.flows.Put(&x.key, x.hash)
+	*f = flow{seen: c.now}
+	c.bind(f, n, p)
+	return f
+}
+
+// deliver sends a caller's packet to the flow's target if it is homed here,
+// else to its home.
+func (c *Core) deliver(x *context, f *flow, hops uint8) {
+	t := &c.targets[f.target]
+	home := c.home(f.target)
+	if home < 0 || home == c.self() || hops >= maxHops {
+		c.Stats.Delivered++
+		c.emit(Output{Kind: ToTarget, Addr: c.view.Targets[t.at].Address, Data: x.data})
+		return
+	}
+	c.forward(home, hspacket.Steer{
+		Kind:   hspacket.KindExact,
+		Hops:   hops + 1,
+		Boot:   c.cfg.Boot,
+		Target: uint64(t.id),
+	}, x.data)
+}
+
+// exact takes a caller's packet from a host that holds the flow as an
+// exception, or that tries it on a target homed here.
+func (c *Core) exact(p *hspacket.Packet, via int) {
+	s := c.view.Service(p.Proto, p.Dst)
+	at, ok := c.view.TargetByID(hsmanifest.TargetID(p.Steer.Target))
+	if s == nil || !ok || !s.Serves(at) {
+		c.count(hscode.FlowForeign)
+		return
+	}
+	n := c.ofView[at]
+	x := newContext(p)
+	f := c.flows.Get(&x.key, x.hash)
+	if f != nil && f.known() && !(p.Seg.Opens() && f.reusable()) {
+		if f.target != n {
+			c.correct(&x, f, via)
+		}
+		c.onFlow(&x, s, f, p.Steer.Hops)
+		return
+	}
+	if f == nil || f.phase != lent || f.target != n {
+		f = c.takeExact(&x, n, via)
+		if f == nil {
+			return
+		}
+	}
+	f.noteCaller(c.now, p.Seg)
+	if p.Seg.Flags.Has(hspacket.ACK) && f.marks&markReply == 0 {
+		f.reply = p.Seg.Ack
+		f.marks |= markReply
+	}
+	c.deliver(&x, f, p.Steer.Hops)
+}
+
+// takeExact holds a flow that another host says is target n's. A flow that was
+// under recovery here ends it: the other host is at least as far.
+func (c *Core) takeExact(x *context, n uint32, via int) *flow {
+	p := lent
+	if x.p.Seg.Opens() || x.p.Proto == hsflow.UDP {
+		p = opening
+	}
+	w := c.waits[x.key]
+	f := c.put(x, n, p)
+	if f == nil {
+		return nil
+	}
+	f.via = int16(via)
+	if w != nil {
+		c.finish(w)
+		for i := range w.held {
+			f.noteCaller(c.now, w.held[i].Seg)
+			c.deliver(&context{p: &w.held[i], data: w.held[i].Inner}, f, 0)
+		}
+	}
+	return f
+}
+
+// correct tells a host whose exception is out of date where the flow is.
+func (c *Core) correct(x *context, f *flow, via int) {
+	c.control(via, hspacket.Steer{Kind: hspacket.KindClaim, Target: uint64(c.targets[f.target].id), Flow: x.key})
+}
--- /dev/null
+++ b/internal/hshome/ingress.go
@@ -0,0 +1,174 @@
+package hshome
+
+import (
+	"net/netip"
+
+	"heatherstack.org/heatherstack/internal/hscode"
+	"heatherstack.org/heatherstack/internal/hsflow"
+	"heatherstack.org/heatherstack/internal/hsmanifest"
+	"heatherstack.org/heatherstack/internal/hspacket"
+	"heatherstack.org/heatherstack/internal/hsrank"
+)
+
+// packet sorts a packet by its steering word. Steering words are taken only
+// from listed entry hosts.
+func (c *Core) packet(p *hspacket.Packet, from netip.Addr) {
+	if p.Steer.Kind == hspacket.KindNone {
+		c.fromFabric(p, from)
+		return
+	}
+	host, ok := c.view.HostAt(from)
+	if !ok {
+		c.count(hscode.PeerUnknown)
+		return
+	}
+	switch p.Steer.Kind {
+	case hspacket.KindForward:
+		c.forwarded(p)
+	case hspacket.KindExact:
+		c.exact(p, host)
+	case hspacket.KindReply:
+		c.relayedReply(p)
+	case hspacket.KindAsk:
+		c.asked(p, host)
+	case hspacket.KindClaim:
+		c.claimed(p, host)
+	case hspacket.KindDeny:
+		c.denied(p, host)
+	}
+}
+
+// fromFabric takes a packet as ingress. No flow state is kept for it here.
+func (c *Core) fromFabric(p *hspacket.Packet, from netip.Addr) {
+	if t, ok := c.view.TargetAt(from); ok {
+		c.ingressReply(p, t)
+		return
+	}
+	c.ingressCaller(p, 0)
+}
+
+// ingressCaller ranks the packet's flow and passes it to the home of its first
+// choice.
+func (c *Core) ingressCaller(p *hspacket.Packet, hops uint8) {
+	s := c.view.Service(p.Proto, p.Dst)
+	if s == nil {
+		c.count(hscode.FlowNoService)
+		return
+	}
+	x := newContext(p)
+	first := c.view.First(s, x.hash)
+	if first < 0 {
+		c.refuse(&x, hscode.FlowNoTarget)
+		return
+	}
+	c.toFirst(&x, s, first, hops)
+}
+
+func (c *Core) toFirst(x *context, s *hsrank.Service, first int, hops uint8) {
+	home := c.view.Targets[first].Home
+	if home < 0 || home == c.self() || hops >= maxHops {
+		c.fromCaller(x, s, c.ofView[first], hops)
+		return
+	}
+	c.forward(home, hspacket.Steer{
+		Kind:   hspacket.KindForward,
+		Hops:   hops + 1,
+		Boot:   c.cfg.Boot,
+		Target: uint64(c.view.Targets[first].ID),
+	}, x.data)
+}
+
+// forwarded takes a caller's packet that another ingress ranked. The named
+// target counts, so that views that differ do not send a packet around in
+// circles; only a target that is not listed here, or takes no new flows any
+// more, is ranked again, and the hop count bounds that.
+func (c *Core) forwarded(p *hspacket.Packet) {
+	s := c.view.Service(p.Proto, p.Dst)
+	if s == nil {
+		c.count(hscode.FlowNoService)
+		return
+	}
+	x := newContext(p)
+	first, ok := c.view.TargetByID(hsmanifest.TargetID(p.Steer.Target))
+	held := c.flows.Get(&x.key, x.hash) != nil
+	if !ok || !s.Serves(first) || (!held && !c.view.Targets[first].Live) {
+		if first = c.view.First(s, x.hash); first < 0 {
+			c.refuse(&x, hscode.FlowNoTarget)
+			return
+		}
+	}
+	if held {
+		c.fromCaller(&x, s, c.ofView[first], p.Steer.Hops)
+		return
+	}
+	c.toFirst(&x, s, first, p.Steer.Hops)
+}
+
+// ingressReply passes a target's packet to the target's home.
+func (c *Core) ingressReply(p *hspacket.Packet, t int) {
+	home := c.view.Targets[t].Home
+	if home < 0 || home == c.self() {
+		c.fromTarget(p, t)
+		return
+	}
+	c.forward(home, hspacket.Steer{
+		Kind:   hspacket.KindReply,
+		Hops:   1,
+		Boot:   c.cfg.Boot,
+		Target: uint64(c.view.Targets[t].ID),
+	}, nil)
+}
+
+// relayedReply takes a target's packet from another ingress.
+func (c *Core) relayedReply(p *hspacket.Packet) {
+	t, ok := c.view.TargetByID(hsmanifest.TargetID(p.Steer.Target))
+	if !ok {
+		c.count(hscode.FlowForeign)
+		return
+	}
+	home := c.view.Targets[t].Home
+	key := p.ReplyKey()
+	held := c.flows.Get(&key, key.Hash()) != nil
+	if home >= 0 && home != c.self() && !held && p.Steer.Hops < maxHops {
+		steer := p.Steer
+		steer.Hops++
+		steer.Boot = c.cfg.Boot
+		c.forward(home, steer, nil)
+		return
+	}
+	c.fromTarget(p, t)
+}
+
+func (c *Core) forward(host int, steer hspacket.Steer, data []byte) {
+	c.Stats.Forwarded++
+	c.emit(Output{Kind: ToHost, Addr: c.view.Hosts[host].Address, Steer: steer, Data: data})
+}
+
+// refuse tells the caller that a new flow or a datagram was not taken. Nothing
+// of it was delivered, so the refusal is true.
+func (c *Core) refuse(x *context, code hscode.Code) {
+	c.count(code)
+	if x.p.Proto == hsflow.TCP {
+		c.reset(x.p)
+		return
+	}
+	if data, err := hspacket.Unreachable(x.p); err == nil {
+		c.emit(Output{Kind: ToCaller, Data: data})
+	}
+}
+
+// reset sends the caller an RST that answers p.
+func (c *Core) reset(p *hspacket.Packet) {
+	data, err := hspacket.Reset(p)
+	if err != nil || data == nil {
+		return
+	}
+	c.Stats.Resets++
+	c.emit(Output{Kind: ToCaller, Data: data})
+}
+
+func newContext(p *hspacket.Packet) context {
+	x := context{p: p, key: p.Key()}
+	x.hash = x.key.Hash()
+	return x
+}
--- /dev/null
+++ b/internal/hshome/reply.go
@@ -0,0 +1,93 @@
+package hshome
+
+import (
+	"heatherstack.org/heatherstack/internal/hscode"
+	"heatherstack.org/heatherstack/internal/hsflow"
+	"heatherstack.org/heatherstack/internal/hspacket"
+)
+
+// fromTarget takes a packet that target at sent, as the target's home.
+func (c *Core) fromTarget(p *hspacket.Packet, at int) {
+	s := c.view.Service(p.Proto, p.Src)
+	if s == nil || !s.Serves(at) {
+		c.count(hscode.FlowForeign)
+		return
+	}
+	n := c.ofView[at]
+	c.targets[n].heard = c.now
+	key := p.ReplyKey()
+	hash := key.Hash()
+	f := c.flows.Get(&key, hash)
+	if f == nil {
+		c.adopt(p, key, hash, n)
+		return
+	}
+	switch f.phase {
+	case trying, asking:
+		c.replyInRecovery(p, key, f, n)
+	case lent:
+		c.replyOnLoan(p, key, f, n)
+	default:
+		c.replyOnFlow(p, f, n)
+	}
+}
+
+// adopt learns a flow from a reply: the target that sends it holds it. An RST
+// says the opposite and is swallowed; the caller's next packet finds out.
+func (c *Core) adopt(p *hspacket.Packet, key hsflow.Key, hash uint64, n uint32) {
+	if p.Seg.Flags.Has(hspacket.RST) {
+		c.count(hscode.FlowTrialReset)
+		return
+	}
+	if c.flows.Len() < c.cfg.MaxFlows {
+		f := c.flows.Put(&key, hash)
+		*f = flow{seen: c.now}
+		c.bind(f, n, open)
+		c.Stats.Recovered++
+		f.learn(c.now, p.Seg)
+	}
+	c.reply()
+}
+
+// learn updates a flow whose caller's numbers are known only from what the
+// target acknowledges.
+func (f *flow) learn(now uint32, s hspacket.Segment) {
+	f.noteReply(now, s)
+	if f.marks&markCaller == 0 && s.Flags.Has(hspacket.ACK) {
+		f.caller = s.Ack
+		f.marks |= markCaller
+	}
+}
+
+// replyOnFlow takes a reply of a flow whose target is settled.
+func (c *Core) replyOnFlow(p *hspacket.Packet, f *flow, n uint32) {
+	if f.target != n && !c.rebind(p, f, n) {
+		c.count(hscode.FlowLate)
+		return
+	}
+	if f.phase == opening && !p.Seg.Flags.Has(hspacket.SYN) {
+		// After a SYN-ACK, the caller's ACK decides; see doubtful.
+		c.setPhase(f, open)
+	}
+	f.noteReply(c.now, p.Seg)
+	if p.Seg.Flags.Has(hspacket.RST) || f.ended() {
+		c.setPhase(f, closed)
+	}
+	c.reply()
+}
+
+// rebind moves a flow to the target that provably holds it: the segment agrees
+// with the connection's sequence numbers in both directions.
+func (c *Core) rebind(p *hspacket.Packet, f *flow, n uint32) bool {
+	if f.phase != open || p.Seg.Flags.Has(hspacket.RST) || !f.answers(p.Seg) {
+		return false
+	}
+	c.bind(f, n, open)
+	return true
+}
+
+// reply sends the input's packet to the caller.
+func (c *Core) reply() {
+	c.Stats.Replies++
+	c.emit(Output{Kind: ToCaller})
+}
--- /dev/null
+++ b/internal/hshome/sweep.go
@@ -0,0 +1,147 @@
+package hshome
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"heatherstack.org/heatherstack/internal/hsflow"
+)
+
+const (
+	// walkStep is the number of entries that one tick looks at.
+	walkStep = 8192
+	// batchMax bounds the entries of one handover message.
+	batchMax = 512
+
+	closedIdle    = 5 * time.Second
+	openingIdle   = 10 * time.Second
+	lentIdle      = 10 * time.Second
+	udpIdle       = time.Minute
+	exceptionIdle = 5 * time.Minute
+	halfOpenIdle  = 10 * time.Minute
+)
+
+// tick lets time pass: recoveries time out, flows that moved are handed over,
+// idle flows are forgotten.
+func (c *Core) tick() {
+	c.stepWaits()
+	if c.handing {
+		c.handOver()
+	}
+	c.sweepAt = c.flows.Walk(c.sweepAt, walkStep, c.expire)
+}
+
+// expire forgets the flow if it is idle.
+func (c *Core) expire(key *hsflow.Key, f *flow) {
+	idle := time.Duration(c.now-f.seen) * time.Millisecond
+	if idle <= c.idleLimit(key, f) {
+		return
+	}
+	k := *key
+	c.drop(f, &k, k.Hash())
+}
+
+func (c *Core) idleLimit(key *hsflow.Key, f *flow) time.Duration {
+	switch {
+	case f.phase == closed:
+		return closedIdle
+	case f.phase == opening:
+		return openingIdle
+	case f.phase != open:
+		return lentIdle
+	case key.Proto() == hsflow.UDP:
+		return udpIdle
+	case c.home(f.target) != c.self():
+		return exceptionIdle
+	case f.marks&(finCaller|finTarget) != 0:
+		return halfOpenIdle
+	default:
+		return c.cfg.Idle
+	}
+}
+
+// handOver walks on through the flows and hands those to their new home whose
+// target this host was home of.
+func (c *Core) handOver() {
+	c.handoverAt = c.flows.Walk(c.handoverAt, walkStep, c.handOne)
+	c.handing = c.handoverAt != 0
+	hosts := make([]netip.Addr, 0, len(c.batches))
+	for h := range c.batches {
+		hosts = append(hosts, h)
+	}
+	slices.SortFunc(hosts, netip.Addr.Compare)
+	for _, h := range hosts {
+		c.emitBatches(h, c.batches[h])
+		delete(c.batches, h)
+	}
+}
+
+func (c *Core) emitBatches(host netip.Addr, entries []Entry) {
+	for len(entries) > 0 {
+		n := min(len(entries), batchMax)
+		c.Stats.HandedOut += uint64(n)
+		c.emit(Output{Kind: Handover, Addr: host, Entries: entries[:n]})
+		entries = entries[n:]
+	}
+}
+
+func (c *Core) handOne(key *hsflow.Key, f *flow) {
+	home := c.home(f.target)
+	if home == c.self() {
+		f.marks &^= handed
+		return
+	}
+	// A flow whose replies were not seen here is an exception, which its home
+	// knows already.
+	if home < 0 || f.phase != open || f.marks&markReply == 0 || f.marks&handed != 0 {
+		return
+	}
+	f.marks |= handed
+	addr := c.view.Hosts[home].Address
+	c.batches[addr] = append(c.batches[addr], Entry{
+		Flow:   *key,
+		Target: c.targets[f.target].id,
+		ISN:    f.isn,
+		Caller: f.caller,
+		Reply:  f.reply,
+		Open:   true,
+	})
+}
+
+// takeEntries takes flows from an old home. What this host learned itself is
+// newer and stays.
+func (c *Core) takeEntries(entries []Entry) {
+	for i := range entries {
+		e := &entries[i]
+		n, ok := c.byID[e.Target]
+		if !ok || c.targets[n].at < 0 {
+			continue
+		}
+		c.takeEntry(e, n)
+	}
+}
+
+func (c *Core) takeEntry(e *Entry, n uint32) {
+	s := c.view.Service(e.Flow.Proto(), e.Flow.Service())
+	if s == nil || !s.Serves(c.targets[n].at) {
+		return
+	}
+	hash := e.Flow.Hash()
+	f := c.flows.Get(&e.Flow, hash)
+	if f != nil && f.known() {
+		return
+	}
+	c.Stats.HandedIn++
+	if w := c.waits[e.Flow]; w != nil && f != nil {
+		c.settle(w, f, n, true)
+		return
+	}
+	if f == nil && c.flows.Len() >= c.cfg.MaxFlows {
+		return
+	}
+	f = c.flows.Put(&e.Flow, hash)
+	c.release(f)
+	*f = flow{seen: c.now, isn: e.ISN, caller: e.Caller, reply: e.Reply, marks: markCaller | markReply}
+	c.bind(f, n, open)
+}
--- /dev/null
+++ b/internal/hshome/target.go
@@ -0,0 +1,152 @@
+package hshome
+
+import (
+	"heatherstack.org/heatherstack/internal/hsflow"
+	"heatherstack.org/heatherstack/internal/hsmanifest"
+	"heatherstack.org/heatherstack/internal/hsrank"
+)
+
+// target is what a host holds about one target.
+type target struct {
+	id hsmanifest.TargetID
+	// Index into View.Targets, or -1 while the view does not list it.
+	at int
+	// Flows held here whose target it is and that are not closed.
+	flows int
+	// Flows that its home reported, if that is another host, and flows sent
+	// there since.
+	reported int
+	// Time since which this host has been its home, ms.
+	homeSince uint32
+	// True if this host has been its home since the target joined, and so
+	// knows all of its flows.
+	complete bool
+	// Time of its last packet, ms.
+	heard uint32
+}
+
+const (
+	// tcpCompleteAfter is the time in ms after which a new home has seen
+	// packets of all TCP flows that matter.
+	tcpCompleteAfter = 120_000
+	// udpCompleteAfter is the same for UDP, where a request that is older is
+	// not waited for any more.
+	udpCompleteAfter = 10_000
+)
+
+// setView brings a view into force and notes which homes moved.
+func (c *Core) setView(v *hsrank.View) {
+	first := c.view == nil
+	old := c.view
+	c.view = v
+	for i := range c.targets {
+		c.targets[i].at = -1
+	}
+	c.ofView = make([]uint32, len(v.Targets))
+	for i := range v.Targets {
+		c.bindTarget(i, old, first)
+	}
+	c.handing = true
+	c.handoverAt = 0
+}
+
+func (c *Core) bindTarget(at int, old *hsrank.View, first bool) {
+	id := c.view.Targets[at].ID
+	n, ok := c.byID[id]
+	if !ok {
+		n = uint32(len(c.targets))
+		c.targets = append(c.targets, target{id: id})
+		c.byID[id] = n
+	}
+	t := &c.targets[n]
+	t.at = at
+	c.ofView[at] = n
+	mine := c.view.Targets[at].Home == c.self()
+	was := false
+	joined := !first
+	if old != nil {
+		if o, listed := old.TargetByID(id); listed {
+			was = old.Targets[o].Home == old.Self
+			joined = false
+		}
+	}
+	if mine && !was {
+		t.homeSince = c.now
+		t.complete = joined
+	}
+}
+
+// sure reports whether a flow of target n would be known here if it existed.
+func (c *Core) sure(n uint32, p hsflow.Proto) bool {
+	t := &c.targets[n]
+	after := uint32(tcpCompleteAfter)
+	if p == hsflow.UDP {
+		after = udpCompleteAfter
+	}
+	return t.complete || c.now-t.homeSince > after
+}
+
+// home returns the index of target n's home in the view, or -1.
+func (c *Core) home(n uint32) int {
+	at := c.targets[n].at
+	if at < 0 {
+		return -1
+	}
+	return c.view.Targets[at].Home
+}
+
+// loads takes what other homes counted.
+func (c *Core) loads(loads []Load) {
+	for _, l := range loads {
+		if n, ok := c.byID[l.Target]; ok {
+			c.targets[n].reported = l.Flows
+		}
+	}
+}
+
+// Loads appends the loads of the targets homed here to dst.
+func (c *Core) Loads(dst []Load) []Load {
+	for i := range c.view.Targets {
+		if c.view.Targets[i].Home != c.self() {
+			continue
+		}
+		t := &c.targets[c.ofView[i]]
+		dst = append(dst, Load{Target: t.id, Flows: t.flows})
+	}
+	return dst
+}
+
+// fill returns target n's open flows as far as known here.
+func (c *Core) fill(n uint32) int {
+	if c.home(n) == c.self() {
+		return c.targets[n].flows
+	}
+	return c.targets[n].reported
+}
+
+// bind makes n the flow's target and keeps the counts.
+func (c *Core) bind(f *flow, n uint32, p phase) {
+	c.release(f)
+	f.target = n
+	f.phase = p
+	if counted(p) {
+		c.targets[n].flows++
+	}
+}
+
+// setPhase changes the phase and keeps the counts.
+func (c *Core) setPhase(f *flow, p phase) {
+	c.bind(f, f.target, p)
+}
+
+// release takes the flow out of its target's count.
+func (c *Core) release(f *flow) {
+	if counted(f.phase) {
+		c.targets[f.target].flows--
+	}
+	f.phase = 0
+}
+
+func counted(p phase) bool {
+	return p == opening || p == open || p == lent
+}
--- /dev/null
+++ b/internal/hslab/conn.go
@@ -0,0 +1,403 @@
+// Package hslab holds stand-ins for what surrounds the product: callers,
+// targets, the fabric and the platform, with the experiments made of them. The
+// stand-ins' decisions are sans-I/O, so that tests drive them under a test
+// clock and experiments over real sockets.
+package hslab
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"heatherstack.org/heatherstack/internal/hsflow"
+	"heatherstack.org/heatherstack/internal/hspacket"
+)
+
+type (
+	connState uint8
+
+	// Conn is one end of a TCP connection, as far as an operating system's
+	// behaviour matters here: handshake, retransmission, reordering, checks of
+	// sequence numbers (RFC 9293, RFC 5961), orderly and abortive close. There
+	// is no congestion control, and the window is fixed.
+	Conn struct {
+		Local  netip.AddrPort
+		Remote netip.AddrPort
+		// Bytes received in order and not read yet.
+		Received []byte
+		// True after the other end closed its direction and all was received.
+		RemoteClosed bool
+		// Set when the connection ended without an orderly close.
+		Failure Failure
+
+		state connState
+		iss   uint32
+		// First unacknowledged and next sequence number.
+		una uint32
+		nxt uint32
+		// Next sequence number expected.
+		rcv uint32
+		// Data from una on; the SYN is not part of it.
+		buf     []byte
+		closing bool
+		finSent bool
+		// Out-of-order data by sequence number; at most maxOutOfOrder.
+		early   map[uint32][]byte
+		earlyFn uint32
+		hasFin  bool
+		timer   time.Time
+		rto     time.Duration
+		tries   int
+		dupAcks int
+		out     []hspacket.Spec
+	}
+
+	// Failure says how a connection ended.
+	Failure uint8
+)
+
+const (
+	stateSynSent connState = iota + 1
+	stateSynReceived
+	stateOpen
+	stateDone
+)
+
+// Failures of a connection.
+const (
+	// NoFailure: the connection is open or closed in order.
+	NoFailure Failure = iota
+	// Refused: an RST answered the SYN.
+	Refused
+	// Aborted: an RST ended the open connection.
+	Aborted
+	// TimedOut: nothing answered for too long.
+	TimedOut
+)
+
+const (
+	segmentSize   = 1400
+	windowSize    = 64 * 1024
+	maxOutOfOrder = 128
+	rtoMin        = 200 * time.Millisecond
+	rtoMax        = 2 * time.Second
+	maxTries      = 14
+	fastAcks      = 3
+)
+
+// Dial starts a connection.
+func Dial(now time.Time, rng *rand.Rand, local, remote netip.AddrPort) *Conn {
+	c := newConn(rng, local, remote)
+	c.state = stateSynSent
+	c.transmit(now, hspacket.SYN, c.iss, nil)
+	c.nxt = c.iss + 1
+	return c
+}
+
+// accept answers a SYN.
+func accept(now time.Time, rng *rand.Rand, p *hspacket.Packet) *Conn {
+	c := newConn(rng, p.Dst, p.Src)
+	c.state = stateSynReceived
+	c.rcv = p.Seg.Seq + 1
+	c.transmit(now, hspacket.SYN|hspacket.ACK, c.iss, nil)
+	c.nxt = c.iss + 1
+	return c
+}
+
+func newConn(rng *rand.Rand, local, remote netip.AddrPort) *Conn {
+	iss := rng.Uint32()
+	return &Conn{Local: local, Remote: remote, iss: iss, una: iss, nxt: iss, early: map[uint32][]byte{}, rto: rtoMin}
+}
+
+// Open reports whether the handshake is complete and nothing ended since.
+func (c *Conn) Open() bool {
+	return c.state == stateOpen
+}
+
+// Done reports whether the connection is over.
+func (c *Conn) Done() bool {
+	return c.state == stateDone
+}
+
+// Write queues data.
+func (c *Conn) Write(now time.Time, data []byte) {
+	c.buf = append(c.buf, data...)
+	c.push(now)
+}
+
+// Close closes this end's direction after what is queued.
+func (c *Conn) Close(now time.Time) {
+	c.closing = true
+	c.push(now)
+}
+
+// Abort ends the connection with an RST.
+func (c *Conn) Abort() {
+	if c.state != stateDone {
+		c.emit(hspacket.RST|hspacket.ACK, c.nxt, nil)
+	}
+	c.state = stateDone
+}
+
+// Take returns the packets to send since the last call.
+func (c *Conn) Take() []hspacket.Spec {
+	out := c.out
+	c.out = nil
+	return out
+}
+
+// Input takes a segment of the connection.
+func (c *Conn) Input(now time.Time, s hspacket.Segment, payload []byte) {
+	switch c.state {
+	case stateSynSent:
+		c.inSynSent(now, s)
+	case stateSynReceived:
+		c.inSynReceived(now, s, payload)
+	case stateOpen:
+		c.inOpen(now, s, payload)
+	case stateDone:
+		c.inDone(s)
+	}
+}
+
+// Tick lets time pass.
+func (c *Conn) Tick(now time.Time) {
+	if c.state == stateDone || c.timer.IsZero() || now.Before(c.timer) {
+		return
+	}
+	c.tries++
+	if c.tries > maxTries {
+		c.fail(TimedOut)
+		return
+	}
+	c.rto = min(2*c.rto, rtoMax)
+	c.resend(now)
+}
+
+func (c *Conn) inSynSent(now time.Time, s hspacket.Segment) {
+	if s.Flags.Has(hspacket.ACK) && s.Ack != c.iss+1 {
+		if !s.Flags.Has(hspacket.RST) {
+			c.emitRaw(hspacket.Segment{Flags: hspacket.RST, Seq: s.Ack}, nil)
+		}
+		return
+	}
+	if s.Flags.Has(hspacket.RST) {
+		if s.Flags.Has(hspacket.ACK) {
+			c.fail(Refused)
+		}
+		return
+	}
+	if !s.Flags.Has(hspacket.SYN | hspacket.ACK) {
+		return
+	}
+	c.rcv = s.Seq + 1
+	c.una = s.Ack
+	c.establish(now)
+	c.ack()
+	c.push(now)
+}
+
+func (c *Conn) inSynReceived(now time.Time, s hspacket.Segment, payload []byte) {
+	if s.Flags.Has(hspacket.RST) {
+		if s.Seq == c.rcv {
+			c.state = stateDone
+		}
+		return
+	}
+	if s.Flags.Has(hspacket.SYN) {
+		c.emit(hspacket.SYN|hspacket.ACK, c.iss, nil)
+		return
+	}
+	if !s.Flags.Has(hspacket.ACK) {
+		return
+	}
+	if s.Ack != c.iss+1 {
+		c.emitRaw(hspacket.Segment{Flags: hspacket.RST, Seq: s.Ack}, nil)
+		return
+	}
+	c.una = s.Ack
+	c.establish(now)
+	c.inOpen(now, s, payload)
+}
+
+func (c *Conn) establish(now time.Time) {
+	c.state = stateOpen
+	c.tries = 0
+	c.rto = rtoMin
+	c.timer = time.Time{}
+	c.push(now)
+}
+
+func (c *Conn) inOpen(now time.Time, s hspacket.Segment, payload []byte) {
+	offset := int32(s.Seq - c.rcv)
+	inWindow := offset < windowSize && offset > -windowSize
+	if s.Flags.Has(hspacket.RST) {
+		switch {
+		case offset == 0:
+			c.fail(Aborted)
+		case inWindow && offset > 0:
+			c.ack()
+		}
+		return
+	}
+	if s.Flags.Has(hspacket.SYN) || !inWindow {
+		c.ack()
+		return
+	}
+	if int32(s.Ack-c.nxt) > 0 || int32(s.Ack-c.una) < -windowSize {
+		c.ack()
+		return
+	}
+	c.acked(now, s)
+	c.takeData(s, payload)
+	c.finishIfClosed()
+}
+
+// inDone answers what follows the end, so that the other end can finish.
+func (c *Conn) inDone(s hspacket.Segment) {
+	if c.Failure != NoFailure || s.Flags.Has(hspacket.RST) {
+		return
+	}
+	if s.Flags.Has(hspacket.FIN) || s.Len > 0 {
+		c.ack()
+	}
+}
+
+func (c *Conn) acked(now time.Time, s hspacket.Segment) {
+	n := int32(s.Ack - c.una)
+	if n == 0 && s.Len == 0 && len(c.buf) > 0 && !s.Flags.Has(hspacket.FIN) {
+		c.dupAcks++
+		if c.dupAcks == fastAcks {
+			c.resend(now)
+		}
+	}
+	if n <= 0 {
+		return
+	}
+	c.dupAcks = 0
+	c.una = s.Ack
+	c.buf = c.buf[min(int(n), len(c.buf)):]
+	c.tries = 0
+	c.rto = rtoMin
+	c.timer = time.Time{}
+	if c.nxt != c.una {
+		c.timer = now.Add(c.rto)
+	}
+	c.push(now)
+}
+
+func (c *Conn) takeData(s hspacket.Segment, payload []byte) {
+	if s.Flags.Has(hspacket.FIN) {
+		c.hasFin = true
+		c.earlyFn = s.Seq + uint32(s.Len)
+	}
+	if len(payload) > 0 && len(c.early) < maxOutOfOrder {
+		c.early[s.Seq] = append([]byte(nil), payload...)
+	}
+	c.drain()
+	if c.hasFin && c.rcv == c.earlyFn && !c.RemoteClosed {
+		c.rcv++
+		c.RemoteClosed = true
+	}
+	if len(payload) > 0 || s.Flags.Has(hspacket.FIN) {
+		c.ack()
+	}
+}
+
+// drain moves data that is in order now to Received.
+func (c *Conn) drain() {
+	for moved := true; moved; {
+		moved = false
+		for seq, data := range c.early {
+			skip := int32(c.rcv - seq)
+			if skip < 0 {
+				continue
+			}
+			delete(c.early, seq)
+			if int(skip) < len(data) {
+				c.Received = append(c.Received, data[skip:]...)
+				c.rcv = seq + uint32(len(data))
+				moved = true
+			}
+		}
+	}
+}
+
+func (c *Conn) finishIfClosed() {
+	if c.finSent && c.RemoteClosed && c.una == c.nxt {
+		c.state = stateDone
+	}
+}
+
+// push sends queued data as far as the window allows, then the FIN.
+func (c *Conn) push(now time.Time) {
+	if c.state != stateOpen {
+		return
+	}
+	for !c.finSent {
+		sent := int(c.nxt - c.una)
+		rest := len(c.buf) - sent
+		if rest == 0 || sent >= windowSize {
+			break
+		}
+		n := min(rest, segmentSize)
+		c.transmit(now, hspacket.ACK|hspacket.PSH, c.nxt, c.buf[sent:sent+n])
+		c.nxt += uint32(n)
+	}
+	if c.closing && !c.finSent && int(c.nxt-c.una) == len(c.buf) {
+		c.finSent = true
+		c.transmit(now, hspacket.FIN|hspacket.ACK, c.nxt, nil)
+		c.nxt++
+	}
+}
+
+// resend sends the first unacknowledged segment again.
+func (c *Conn) resend(now time.Time) {
+	switch {
+	case c.state == stateSynSent:
+		c.transmit(now, hspacket.SYN, c.iss, nil)
+	case c.state == stateSynReceived:
+		c.transmit(now, hspacket.SYN|hspacket.ACK, c.iss, nil)
+	case len(c.buf) > 0:
+		n := min(len(c.buf), segmentSize, int(c.nxt-c.una))
+		c.transmit(now, hspacket.ACK|hspacket.PSH, c.una, c.buf[:n])
+	case c.finSent:
+		c.transmit(now, hspacket.FIN|hspacket.ACK, c.una, nil)
+	}
+	c.timer = now.Add(c.rto)
+}
+
+func (c *Conn) fail(f Failure) {
+	c.state = stateDone
+	c.Failure = f
+}
+
+func (c *Conn) ack() {
+	c.emit(hspacket.ACK, c.nxt, nil)
+}
+
+// transmit sends a segment that is sent again until it is acknowledged.
+func (c *Conn) transmit(now time.Time, f hspacket.Flags, seq uint32, payload []byte) {
+	c.emit(f, seq, payload)
+	if c.timer.IsZero() {
+		c.timer = now.Add(c.rto)
+	}
+}
+
+func (c *Conn) emit(f hspacket.Flags, seq uint32, payload []byte) {
+	s := hspacket.Segment{Flags: f, Seq: seq}
+	if f.Has(hspacket.ACK) {
+		s.Ack = c.rcv
+	}
+	c.emitRaw(s, payload)
+}
+
+func (c *Conn) emitRaw(s hspacket.Segment, payload []byte) {
+	c.out = append(c.out, hspacket.Spec{
+		Proto:   hsflow.TCP,
+		Src:     c.Local,
+		Dst:     c.Remote,
+		Seg:     s,
+		Payload: append([]byte(nil), payload...),
+	})
+}
--- /dev/null
+++ b/internal/hslab/frame.go
@@ -0,0 +1,78 @@
+package hslab
+
+import (
+	"bytes"
+	"encoding/binary"
+	"math/rand/v2"
+)
+
+type (
+	// frame is the head of a request or an answer.
+	frame struct {
+		id      uint64
+		service uint32
+		// Bytes that follow the head.
+		size uint32
+		// For requests: bytes that the answer's body has.
+		answer uint32
+	}
+)
+
+const (
+	frameMagic = 0x48537631
+	frameSize  = 24
+	answerSalt = 0x9E3779B97F4A7C15
+)
+
+func (f frame) head() []byte {
+	var b [frameSize]byte
+	binary.BigEndian.PutUint32(b[0:], frameMagic)
+	binary.BigEndian.PutUint64(b[4:], f.id)
+	binary.BigEndian.PutUint32(b[12:], f.service)
+	binary.BigEndian.PutUint32(b[16:], f.size)
+	binary.BigEndian.PutUint32(b[20:], f.answer)
+	return b[:]
+}
+
+// parseFrame reads a head. ok is false if b is too short; good is false if it
+// holds something else.
+func parseFrame(b []byte) (f frame, ok, good bool) {
+	if len(b) < frameSize {
+		return frame{}, false, true
+	}
+	f = frame{
+		id:      binary.BigEndian.Uint64(b[4:]),
+		service: binary.BigEndian.Uint32(b[12:]),
+		size:    binary.BigEndian.Uint32(b[16:]),
+		answer:  binary.BigEndian.Uint32(b[20:]),
+	}
+	return f, true, binary.BigEndian.Uint32(b) == frameMagic
+}
+
+// body returns n bytes that only the given seed yields.
+func body(seed uint64, n uint32) []byte {
+	b := make([]byte, n)
+	src := rand.NewPCG(seed, answerSalt)
+	for i := 0; i < len(b); i += 8 {
+		var word [8]byte
+		binary.BigEndian.PutUint64(word[:], src.Uint64())
+		copy(b[i:], word[:])
+	}
+	return b
+}
+
+// request returns the bytes of a request.
+func request(f frame) []byte {
+	return append(f.head(), body(f.id, f.size)...)
+}
+
+// answer returns the bytes of the answer to a request.
+func answer(f frame) []byte {
+	a := frame{id: f.id, service: f.service, size: f.answer}
+	return append(a.head(), body(f.id^answerSalt, f.answer)...)
+}
+
+// isRequest reports whether data is exactly the request that f heads.
+func isRequest(f frame, data []byte) bool {
+	return bytes.Equal(data, request(f))
+}
--- /dev/null
+++ b/internal/hslab/plan.go
@@ -0,0 +1,205 @@
+package hslab
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"heatherstack.org/heatherstack/internal/hsflow"
+	"heatherstack.org/heatherstack/internal/hsmanifest"
+	"heatherstack.org/heatherstack/internal/hsschema"
+)
+
+type (
+	// ServicePlan is a service of the lab with its callers.
+	ServicePlan struct {
+		Script Script
+		User   string
+		Class  hsmanifest.Class
+		// Name of the pool of targets that serve it.
+		Pool string
+		Work time.Duration
+		// Callers at scale 1.
+		Callers int
+	}
+
+	// PoolPlan is a set of equal targets in each building.
+	PoolPlan struct {
+		Name        string
+		Targets     int
+		Slots       int
+		Connections int
+	}
+
+	// Machine is a target or an entry host of the lab.
+	Machine struct {
+		Name    string
+		Address netip.Addr
+		Zone    string
+		Pool    string
+		Leaving bool
+	}
+
+	// Estate is the declared state of the lab, from which manifests are made.
+	Estate struct {
+		Version  uint64
+		Pools    []PoolPlan
+		Services []ServicePlan
+		Targets  []Machine
+		Hosts    []Machine
+	}
+)
+
+var zones = []string{"a", "b", "c"}
+
+// Pools returns the pools of the race office and of Lakeshore.
+func Pools() []PoolPlan {
+	return []PoolPlan{
+		{Name: "desk", Targets: 15, Slots: 3, Connections: 2000},
+		{Name: "certificate", Targets: 4, Slots: 3, Connections: 2000},
+		{Name: "dispatch", Targets: 15, Slots: 2, Connections: 2000},
+		{Name: "catalog", Targets: 4, Slots: 2, Connections: 2000},
+	}
+}
+
+// Services returns the services of the race office and of Lakeshore: both
+// address families and both protocols.
+func Services() []ServicePlan {
+	list := []ServicePlan{
+		{
+			Script: Script{Name: "checkin", Proto: hsflow.TCP, Service: netip.MustParseAddrPort("198.51.100.1:443"), Request: 200, Answer: 120},
+			User:   "race", Class: hsmanifest.Urgent, Pool: "desk", Work: 2 * time.Millisecond, Callers: 240,
+		},
+		{
+			Script: Script{Name: "lookup", Proto: hsflow.UDP, Service: netip.MustParseAddrPort("198.51.100.1:5300"), Idempotent: true, Request: 40, Answer: 400},
+			User:   "race", Class: hsmanifest.Normal, Pool: "desk", Work: time.Millisecond, Callers: 40,
+		},
+		{
+			Script: Script{Name: "download", Proto: hsflow.TCP, Service: netip.MustParseAddrPort("[2001:db8:1::1]:443"), Idempotent: true, Request: 100, Answer: 30000, Requests: 3},
+			User:   "race", Class: hsmanifest.Deferrable, Pool: "certificate", Work: 3 * time.Millisecond, Callers: 40,
+		},
+		{
+			Script: Script{Name: "ticket", Proto: hsflow.TCP, Service: netip.MustParseAddrPort("198.51.100.2:443"), Request: 20000, Answer: 120},
+			User:   "lakeshore", Class: hsmanifest.Urgent, Pool: "dispatch", Work: 2 * time.Millisecond, Callers: 240,
+		},
+		{
+			Script: Script{Name: "status", Proto: hsflow.UDP, Service: netip.MustParseAddrPort("[2001:db8:2::1]:5300"), Idempotent: true, Request: 40, Answer: 300},
+			User:   "lakeshore", Class: hsmanifest.Normal, Pool: "dispatch", Work: time.Millisecond, Callers: 40,
+		},
+		{
+			Script: Script{Name: "browse", Proto: hsflow.TCP, Service: netip.MustParseAddrPort("[2001:db8:2::2]:443"), Idempotent: true, Request: 100, Answer: 12000, Requests: 5},
+			User:   "lakeshore", Class: hsmanifest.Deferrable, Pool: "catalog", Work: 3 * time.Millisecond, Callers: 40,
+		},
+	}
+	for i := range list {
+		list[i].Script.Number = uint32(i + 1)
+		list[i].Script.Think = 400 * time.Millisecond
+	}
+	return list
+}
+
+// AddTargets adds a building's targets for all pools; addresses are taken from
+// next.
+func (e *Estate) AddTargets(building string, next func() netip.Addr) {
+	for _, p := range e.Pools {
+		for i := range p.Targets {
+			e.Targets = append(e.Targets, Machine{
+				Name:    fmt.Sprintf("%s-%s-%d", p.Name, building, i+1),
+				Address: next(),
+				Zone:    zones[i%len(zones)],
+				Pool:    p.Name,
+			})
+		}
+	}
+}
+
+// AddHosts adds n entry hosts of a building, spread over the zones.
+func (e *Estate) AddHosts(building string, n int, next func() netip.Addr) {
+	for i := range n {
+		e.Hosts = append(e.Hosts, Machine{
+			Name:    fmt.Sprintf("entry-%s-%d", building, i+1),
+			Address: next(),
+			Zone:    zones[i%len(zones)],
+		})
+	}
+}
+
+// Manifest returns the next version's manifest as JSON.
+func (e *Estate) Manifest() ([]byte, error) {
+	e.Version++
+	m := &hsschema.Manifest{Version: e.Version}
+	pools := map[string]PoolPlan{}
+	for _, p := range e.Pools {
+		pools[p.Name] = p
+	}
+	users := map[string]bool{}
+	byPool := map[string][]string{}
+	for _, t := range e.Targets {
+		p := pools[t.Pool]
+		byPool[t.Pool] = append(byPool[t.Pool], t.Name)
+		m.Targets = append(m.Targets, &hsschema.Target{
+			Name:        t.Name,
+			Address:     t.Address.String(),
+			Zone:        t.Zone,
+			Slots:       uint32(p.Slots),
+			Connections: uint32(p.Connections),
+			State:       state(t.Leaving),
+		})
+	}
+	for _, h := range e.Hosts {
+		m.Hosts = append(m.Hosts, &hsschema.Host{Name: h.Name, Address: h.Address.String(), Zone: h.Zone, State: state(h.Leaving)})
+	}
+	for _, s := range e.Services {
+		if !users[s.User] {
+			users[s.User] = true
+			m.Users = append(m.Users, &hsschema.User{Name: s.User})
+		}
+		m.Services = append(m.Services, &hsschema.Service{
+			Name:       s.Script.Name,
+			User:       s.User,
+			Address:    s.Script.Service.Addr().String(),
+			Port:       uint32(s.Script.Service.Port()),
+			Protocol:   s.Script.Proto.String(),
+			Class:      s.Class.String(),
+			Idempotent: s.Script.Idempotent,
+			Targets:    byPool[s.Pool],
+		})
+	}
+	return protojson.MarshalOptions{Multiline: true, Indent: "  "}.Marshal(m)
+}
+
+// Listens returns what a target of the pool runs.
+func (e *Estate) Listens(pool string) []Listen {
+	var out []Listen
+	for _, s := range e.Services {
+		if s.Pool == pool {
+			out = append(out, Listen{
+				Number:     s.Script.Number,
+				Address:    s.Script.Service,
+				Proto:      s.Script.Proto,
+				Idempotent: s.Script.Idempotent,
+				Work:       s.Work,
+			})
+		}
+	}
+	return out
+}
+
+// Slots returns the slots of a target of the pool.
+func (e *Estate) Slots(pool string) int {
+	for _, p := range e.Pools {
+		if p.Name == pool {
+			return p.Slots
+		}
+	}
+	return 1
+}
+
+func state(leaving bool) string {
+	if leaving {
+		return hsmanifest.Leaving.String()
+	}
+	return hsmanifest.Live.String()
+}
--- /dev/null
+++ b/internal/hslab/platform.go
@@ -0,0 +1,95 @@
+package hslab
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Platform is a stand-in for the operators' platform: one value that is read
+// and watched over HTTP.
+type Platform struct {
+	mu    sync.Mutex
+	value []byte
+	etag  string
+	// Closed when the value changes.
+	changed chan struct{}
+	reads   int
+	down    bool
+}
+
+// NewPlatform returns a platform without a value.
+func NewPlatform() *Platform {
+	return &Platform{changed: make(chan struct{})}
+}
+
+// Publish sets the value.
+func (p *Platform) Publish(value []byte) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.value = value
+	p.etag = fmt.Sprintf("%q", strconv.Itoa(len(value))+"-"+strconv.FormatInt(time.Now().UnixNano(), 36))
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// SetDown makes the platform answer with an error, or no longer.
+func (p *Platform) SetDown(down bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.down = down
+}
+
+// Reads returns the number of calls since the start.
+func (p *Platform) Reads() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.reads
+}
+
+// ServeHTTP implements http.Handler.
+func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	value, etag, changed, down := p.read()
+	if !down && etag != "" && r.Header.Get("If-None-Match") == etag {
+		p.wait(r, changed)
+		value, etag, _, down = p.read()
+	}
+	switch {
+	case down:
+		http.Error(w, "down", http.StatusServiceUnavailable)
+	case etag == "" || r.Header.Get("If-None-Match") == etag:
+		w.WriteHeader(http.StatusNotModified)
+	default:
+		w.Header().Set("ETag", etag)
+		_, _ = w.Write(value)
+	}
+}
+
+func (p *Platform) read() (value []byte, etag string, changed <-chan struct{}, down bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reads++
+	return p.value, p.etag, p.changed, p.down
+}
+
+// wait returns after a change or the time that the Prefer header names.
+func (p *Platform) wait(r *http.Request, changed <-chan struct{}) {
+	text, ok := strings.CutPrefix(r.Header.Get("Prefer"), "wait=")
+	if !ok {
+		return
+	}
+	seconds, err := strconv.Atoi(text)
+	if err != nil {
+		return
+	}
+	t := time.NewTimer(time.Duration(seconds) * time.Second)
+	defer t.Stop()
+	select {
+	case <-changed:
+	case <-t.C:
+	case <-r.Context().Done():
+	}
+}
--- /dev/null
+++ b/internal/hslab/report.go
@@ -0,0 +1,219 @@
+package hslab
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"heatherstack.org/heatherstack/internal/hsentry"
+)
+
+type (
+	// Verdict is the outcome of an experiment with callers.
+	Verdict struct {
+		Services []ServiceVerdict
+		Total    Tally
+		// Requests that ran twice, and that reached the wrong service.
+		Doubled   int
+		Misrouted int
+		// Targets that took new connections too long after they began to leave.
+		Late int
+		// Connections open on targets that were removed.
+		Undrained int
+		Force     []Force
+		Balance   []Balance
+		// Worst of Balance.
+		Imbalance float64
+		Hosts     []hsentry.Status
+	}
+
+	// ServiceVerdict is the outcome for one service.
+	ServiceVerdict struct {
+		Name  string
+		Tally Tally
+	}
+
+	// Force is how long a version took to be in force everywhere.
+	Force struct {
+		Version uint64
+		Took    time.Duration
+	}
+
+	// Balance is how even a pool's connections are.
+	Balance struct {
+		Pool string
+		Open int
+		// Largest over mean.
+		Ratio float64
+	}
+
+	// Reporter shows an experiment's progress.
+	Reporter interface {
+		Phase(at time.Duration, name string)
+		Progress(at time.Duration, tallies []Tally)
+		Force(at time.Duration, version uint64, took time.Duration)
+		Verdict(v *Verdict)
+	}
+
+	// TextReporter writes for people.
+	TextReporter struct {
+		W io.Writer
+	}
+
+	// JSONReporter writes one JSON object per line.
+	JSONReporter struct {
+		W io.Writer
+	}
+
+	// verdictLine is the last line of a JSON report.
+	verdictLine struct {
+		Kind      string  `json:"kind"`
+		Broken    int     `json:"broken"`
+		Lost      int     `json:"lost"`
+		Doubled   int     `json:"doubled"`
+		Cut       int     `json:"cut"`
+		Crossed   int     `json:"crossed"`
+		Misrouted int     `json:"misrouted"`
+		Opened    int     `json:"opened"`
+		Answered  int     `json:"answered"`
+		Sent      int     `json:"sent"`
+		Refused   int     `json:"refused"`
+		Unopened  int     `json:"unopened"`
+		Late      int     `json:"late"`
+		Undrained int     `json:"undrained"`
+		Imbalance float64 `json:"imbalance"`
+	}
+)
+
+const (
+	median    = 50
+	nearWorst = 99
+)
+
+// Kept reports whether every promise was kept.
+func (v *Verdict) Kept() bool {
+	t := &v.Total
+	bad := t.Broken + t.Lost + t.Cut + t.Crossed + v.Doubled + v.Misrouted + v.Late
+	return bad == 0 && t.Opened > 0 && t.Answered > 0
+}
+
+func (v *Verdict) fill(plans []ServicePlan, tallies []Tally, ledger *Ledger) {
+	v.Total = *NewTally()
+	for i := range tallies {
+		v.Services = append(v.Services, ServiceVerdict{Name: plans[i].Script.Name, Tally: tallies[i]})
+		v.Total.Add(&tallies[i])
+	}
+	_, v.Doubled, v.Misrouted = ledger.Totals()
+}
+
+// Phase implements Reporter.
+func (r *TextReporter) Phase(at time.Duration, name string) {
+	_, _ = fmt.Fprintf(r.W, "%7s  %s\n", seconds(at), name)
+}
+
+// Progress implements Reporter.
+func (r *TextReporter) Progress(at time.Duration, tallies []Tally) {
+	t := NewTally()
+	for i := range tallies {
+		t.Add(&tallies[i])
+	}
+	_, _ = fmt.Fprintf(r.W, "%7s  open %d  answered %d  broken %d  refused %d\n", seconds(at), t.Open, t.Answered, t.Broken, t.Refused)
+}
+
+// Force implements Reporter.
+func (r *TextReporter) Force(at time.Duration, version uint64, took time.Duration) {
+	_, _ = fmt.Fprintf(r.W, "%7s  version %d in force everywhere after %d ms\n", seconds(at), version, took.Milliseconds())
+}
+
+// Verdict implements Reporter.
+func (r *TextReporter) Verdict(v *Verdict) {
+	w := tabwriter.NewWriter(r.W, 0, 0, 2, ' ', tabwriter.AlignRight)
+	_, _ = fmt.Fprintln(w, "\nservice\topened\tbroken\tsent\tanswered\trefused\tlost\tcut\tcrossed\tp50 ms\tp99 ms\tmax ms\t")
+	for i := range v.Services {
+		serviceRow(w, v.Services[i].Name, &v.Services[i].Tally)
+	}
+	serviceRow(w, "all", &v.Total)
+	_ = w.Flush()
+	_, _ = fmt.Fprintf(r.W, "\ndoubled %d, misrouted %d, targets given work too late %d, connections left on removed targets %d\n",
+		v.Doubled, v.Misrouted, v.Late, v.Undrained)
+	for _, b := range v.Balance {
+		_, _ = fmt.Fprintf(r.W, "imbalance of %s: %.2f with %d connections\n", b.Pool, b.Ratio, b.Open)
+	}
+	for _, n := range v.Total.Notes {
+		_, _ = fmt.Fprintln(r.W, "broken:", n)
+	}
+	if v.Kept() {
+		_, _ = fmt.Fprintln(r.W, "every promise was kept")
+	} else {
+		_, _ = fmt.Fprintln(r.W, "A PROMISE WAS BROKEN")
+	}
+}
+
+func serviceRow(w io.Writer, name string, t *Tally) {
+	ms := func(q float64) float64 { return float64(t.Latency.ValueAtQuantile(q)) / 1000 }
+	_, _ = fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%.1f\t\n", name,
+		t.Opened, t.Broken, t.Sent, t.Answered, t.Refused, t.Lost, t.Cut, t.Crossed,
+		ms(median), ms(nearWorst), float64(t.Latency.Max())/1000)
+}
+
+// Phase implements Reporter.
+func (r *JSONReporter) Phase(at time.Duration, name string) {
+	r.line(struct {
+		Kind string  `json:"kind"`
+		At   float64 `json:"at"`
+		Name string  `json:"name"`
+	}{"phase", at.Seconds(), name})
+}
+
+// Progress implements Reporter.
+func (r *JSONReporter) Progress(at time.Duration, tallies []Tally) {
+	t := NewTally()
+	for i := range tallies {
+		t.Add(&tallies[i])
+	}
+	r.line(struct {
+		Kind     string  `json:"kind"`
+		At       float64 `json:"at"`
+		Open     int     `json:"open"`
+		Answered int     `json:"answered"`
+		Broken   int     `json:"broken"`
+		Refused  int     `json:"refused"`
+	}{"progress", at.Seconds(), t.Open, t.Answered, t.Broken, t.Refused})
+}
+
+// Force implements Reporter.
+func (r *JSONReporter) Force(at time.Duration, version uint64, took time.Duration) {
+	r.line(struct {
+		Kind    string  `json:"kind"`
+		At      float64 `json:"at"`
+		Version uint64  `json:"version"`
+		Took    float64 `json:"took"`
+	}{"force", at.Seconds(), version, took.Seconds()})
+}
+
+// Verdict implements Reporter.
+func (r *JSONReporter) Verdict(v *Verdict) {
+	for i := range v.Services {
+		t := &v.Services[i].Tally
+		r.line(struct {
+			Kind     string `json:"kind"`
+			Name     string `json:"name"`
+			Answered int    `json:"answered"`
+			P50      int64  `json:"p50"`
+			P99      int64  `json:"p99"`
+			Max      int64  `json:"max"`
+		}{"service", v.Services[i].Name, t.Answered, t.Latency.ValueAtQuantile(median), t.Latency.ValueAtQuantile(nearWorst), t.Latency.Max()})
+	}
+	t := &v.Total
+	r.line(verdictLine{
+		Kind: "verdict", Broken: t.Broken, Lost: t.Lost, Doubled: v.Doubled, Cut: t.Cut, Crossed: t.Crossed,
+		Misrouted: v.Misrouted, Opened: t.Opened, Answered: t.Answered, Sent: t.Sent, Refused: t.Refused,
+		Unopened: t.Unopened, Late: v.Late, Undrained: v.Undrained, Imbalance: v.Imbalance,
+	})
+}
+
+func (r *JSONReporter) line(v any) {
+	_ = json.NewEncoder(r.W).Encode(v)
+}
--- /dev/null
+++ b/internal/hslab/tally.go
@@ -0,0 +1,27 @@
+package hslab
+
+import "github.com/HdrHistogram/hdrhistogram-go"
+
+// Copy returns a copy that shares nothing with t.
+func (t *Tally) Copy() Tally {
+	c := *t
+	c.Latency = hdrhistogram.Import(t.Latency.Export())
+	c.Notes = append([]string(nil), t.Notes...)
+	return c
+}
+
+// Add adds other's counts to t.
+func (t *Tally) Add(other *Tally) {
+	t.Opened += other.Opened
+	t.Broken += other.Broken
+	t.Sent += other.Sent
+	t.Answered += other.Answered
+	t.Refused += other.Refused
+	t.Lost += other.Lost
+	t.Cut += other.Cut
+	t.Crossed += other.Crossed
+	t.Unopened += other.Unopened
+	t.Open += other.Open
+	t.Latency.Merge(other.Latency)
+	t.Notes = append(t.Notes, other.Notes...)
+}
--- /dev/null
+++ b/internal/hsmanifest/history.go
@@ -0,0 +1,133 @@
+package hsmanifest
+
+import "slices"
+
+type (
+	// Member is a target that takes new flows, with its share.
+	Member struct {
+		ID     TargetID
+		Weight uint32
+	}
+
+	// Generation is the set of targets of one service that took new flows from
+	// Version on.
+	Generation struct {
+		Version uint64
+		// Sorted by ID. Never empty.
+		Members []Member
+	}
+
+	// History holds the generations of each service by name, newest first. It
+	// is immutable; Extend returns a new one.
+	History map[string][]Generation
+)
+
+// maxGenerations bounds the history of one service.
+const maxGenerations = 24
+
+// Extend returns the history after m came into force. A generation is added
+// for each service whose set of live targets changed; targets that m no longer
+// lists disappear from all generations.
+func (h History) Extend(m *Manifest) History {
+	known := make(map[TargetID]bool, len(m.Targets))
+	for i := range m.Targets {
+		known[m.Targets[i].ID] = true
+	}
+	next := make(History, len(m.Services))
+	for i := range m.Services {
+		s := &m.Services[i]
+		next[s.Name] = extend(h[s.Name], m, s, known)
+	}
+	return next
+}
+
+// Merge returns the history that holds the generations of h and other, as a
+// host needs that starts in the middle of a change.
+func (h History) Merge(other History) History {
+	next := make(History, len(h))
+	for name, gens := range h {
+		next[name] = mergeGenerations(gens, other[name])
+	}
+	return next
+}
+
+func extend(old []Generation, m *Manifest, s *Service, known map[TargetID]bool) []Generation {
+	gens := make([]Generation, 0, len(old)+1)
+	if live := members(m, s, func(t *Target) bool { return t.State == Live }); len(live) > 0 {
+		gens = append(gens, Generation{Version: m.Version, Members: live})
+	}
+	for _, g := range old {
+		gens = appendChanged(gens, g.Version, filter(g.Members, known))
+	}
+	// A host without history still knows that leaving targets took flows once.
+	all := members(m, s, func(*Target) bool { return true })
+	if len(old) == 0 {
+		gens = appendChanged(gens, 0, all)
+	}
+	if len(gens) > maxGenerations {
+		gens = gens[:maxGenerations]
+	}
+	return gens
+}
+
+// appendChanged appends a generation unless it has no members or those of the
+// one before it. If it has the same members, the older version is kept, since
+// the set took flows from then on.
+func appendChanged(gens []Generation, version uint64, members []Member) []Generation {
+	if len(members) == 0 {
+		return gens
+	}
+	if last := len(gens) - 1; last >= 0 && slices.Equal(gens[last].Members, members) {
+		gens[last].Version = version
+		return gens
+	}
+	return append(gens, Generation{Version: version, Members: members})
+}
+
+func mergeGenerations(a, b []Generation) []Generation {
+	all := slices.Concat(a, b)
+	slices.SortStableFunc(all, func(x, y Generation) int {
+		switch {
+		case x.Version > y.Version:
+			return -1
+		case x.Version < y.Version:
+			return 1
+		default:
+			return 0
+		}
+	})
+	gens := make([]Generation, 0, len(all))
+	for _, g := range all {
+		gens = appendChanged(gens, g.Version, g.Members)
+	}
+	if len(gens) > maxGenerations {
+		gens = gens[:maxGenerations]
+	}
+	return gens
+}
+
+func members(m *Manifest, s *Service, take func(*Target) bool) []Member {
+	var out []Member
+	for _, n := range s.Targets {
+		if t := &m.Targets[n]; take(t) {
+			out = append(out, Member{ID: t.ID, Weight: t.Weight})
+		}
+	}
+	slices.SortFunc(out, func(a, b Member) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+func filter(members []Member, known map[TargetID]bool) []Member {
+	var out []Member
+	for _, m := range members {
+		if known[m.ID] {
+			out = append(out, m)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/hspacket/write.go
@@ -0,0 +1,128 @@
+package hspacket
+
+import (
+	"net/netip"
+
+	"github.com/gopacket/gopacket"
+	"github.com/gopacket/gopacket/layers"
+	"github.com/juju/errors"
+
+	"heatherstack.org/heatherstack/internal/hsflow"
+)
+
+const (
+	hopLimit      = 64
+	defaultWindow = 65535
+	// Part of a refused IPv6 packet that an ICMP error quotes.
+	quoteMax = 1232 - ip6Header - 8
+	// Part of a refused IPv4 packet that an ICMP error quotes, beyond its header.
+	quoteData = 8
+)
+
+// Spec describes a packet to be written from scratch.
+type Spec struct {
+	Proto   hsflow.Proto
+	Src     netip.AddrPort
+	Dst     netip.AddrPort
+	Seg     Segment
+	Payload []byte
+}
+
+// Write returns the IP packet that s describes. Seg.Len is ignored.
+func Write(s Spec) ([]byte, error) {
+	ip, network := ipLayer(s.Src.Addr(), s.Dst.Addr(), layers.IPProtocol(s.Proto))
+	var upper gopacket.SerializableLayer
+	if s.Proto == hsflow.TCP {
+		upper = tcpLayer(s, network)
+	} else {
+		upper = udpLayer(s, network)
+	}
+	return serialize(ip, upper, gopacket.Payload(s.Payload))
+}
+
+// Reset returns the segment that tells p's sender that the connection does not
+// exist, as RFC 9293 section 3.10.7.1 gives it. It returns nil if p itself is
+// a reset.
+func Reset(p *Packet) ([]byte, error) {
+	if p.Seg.Flags.Has(RST) {
+		return nil, nil
+	}
+	s := Spec{Proto: hsflow.TCP, Src: p.Dst, Dst: p.Src}
+	if p.Seg.Flags.Has(ACK) {
+		s.Seg = Segment{Flags: RST, Seq: p.Seg.Ack}
+	} else {
+		s.Seg = Segment{Flags: RST | ACK, Ack: p.Seg.End()}
+	}
+	return Write(s)
+}
+
+// Unreachable returns the ICMP port unreachable error that refuses p.
+func Unreachable(p *Packet) ([]byte, error) {
+	if p.Dst.Addr().Is4() {
+		return unreachable4(p)
+	}
+	return unreachable6(p)
+}
+
+func unreachable4(p *Packet) ([]byte, error) {
+	ip, _ := ipLayer(p.Dst.Addr(), p.Src.Addr(), layers.IPProtocolICMPv4)
+	icmp := &layers.ICMPv4{
+		TypeCode: layers.CreateICMPv4TypeCode(layers.ICMPv4TypeDestinationUnreachable, layers.ICMPv4CodePort),
+	}
+	quote := min(len(p.Inner), int(p.Inner[0]&0xF)*4+quoteData)
+	return serialize(ip, icmp, gopacket.Payload(p.Inner[:quote]))
+}
+
+func unreachable6(p *Packet) ([]byte, error) {
+	ip, network := ipLayer(p.Dst.Addr(), p.Src.Addr(), layers.IPProtocolICMPv6)
+	icmp := &layers.ICMPv6{
+		TypeCode: layers.CreateICMPv6TypeCode(layers.ICMPv6TypeDestinationUnreachable, layers.ICMPv6CodePortUnreachable),
+	}
+	if err := icmp.SetNetworkLayerForChecksum(network); err != nil {
+		return nil, errors.Trace(err)
+	}
+	unused := make([]byte, 4, 4+quoteMax)
+	quote := append(unused, p.Inner[:min(len(p.Inner), quoteMax)]...)
+	return serialize(ip, icmp, gopacket.Payload(quote))
+}
+
+func ipLayer(src, dst netip.Addr, proto layers.IPProtocol) (gopacket.SerializableLayer, gopacket.NetworkLayer) {
+	if src.Is4() {
+		ip := &layers.IPv4{Version: 4, TTL: hopLimit, Protocol: proto, SrcIP: src.AsSlice(), DstIP: dst.AsSlice()}
+		return ip, ip
+	}
+	ip := &layers.IPv6{Version: 6, HopLimit: hopLimit, NextHeader: proto, SrcIP: src.AsSlice(), DstIP: dst.AsSlice()}
+	return ip, ip
+}
+
+func tcpLayer(s Spec, network gopacket.NetworkLayer) *layers.TCP {
+	t := &layers.TCP{
+		SrcPort: layers.TCPPort(s.Src.Port()),
+		DstPort: layers.TCPPort(s.Dst.Port()),
+		Seq:     s.Seg.Seq,
+		Ack:     s.Seg.Ack,
+		Window:  defaultWindow,
+		FIN:     s.Seg.Flags.Has(FIN),
+		SYN:     s.Seg.Flags.Has(SYN),
+		RST:     s.Seg.Flags.Has(RST),
+		PSH:     s.Seg.Flags.Has(PSH),
+		ACK:     s.Seg.Flags.Has(ACK),
+	}
+	_ = t.SetNetworkLayerForChecksum(network)
+	return t
+}
+
+func udpLayer(s Spec, network gopacket.NetworkLayer) *layers.UDP {
+	u := &layers.UDP{SrcPort: layers.UDPPort(s.Src.Port()), DstPort: layers.UDPPort(s.Dst.Port())}
+	_ = u.SetNetworkLayerForChecksum(network)
+	return u
+}
+
+func serialize(parts ...gopacket.SerializableLayer) ([]byte, error) {
+	buf := gopacket.NewSerializeBuffer()
+	opts := gopacket.SerializeOptions{FixLengths: true, ComputeChecksums: true}
+	if err := gopacket.SerializeLayers(buf, opts, parts...); err != nil {
+		return nil, errors.Trace(err)
+	}
+	return buf.Bytes(), nil
+}
--- /dev/null
+++ b/internal/hsrank/home.go
@@ -0,0 +1,100 @@
+package hsrank
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// homes gives every target its home. Within a zone, targets are handed out in
+// the order of their identity; each goes to the host with the highest
+// rendezvous score that still has room, and room is the even share rounded up.
+//
+// Example: 5 targets over hosts a and b leave room for 3 each. Should the first
+// four all score a highest, the fourth goes to b.
+func (v *View) homes(before *View) {
+	byZone := make([][]int, len(v.Zones))
+	for i := range v.Targets {
+		zone := v.Targets[i].Zone
+		byZone[zone] = append(byZone[zone], i)
+	}
+	for zone, targets := range byZone {
+		v.assign(targets, v.takers(zone))
+	}
+	if before != nil {
+		v.previous(before)
+	}
+}
+
+// takers returns the hosts that homes of a zone's targets may fall to: those
+// of the zone, else those of all zones, else those that are leaving.
+func (v *View) takers(zone int) []int {
+	for _, fits := range []func(*Host) bool{
+		func(h *Host) bool { return h.Takes && h.Zone == zone },
+		func(h *Host) bool { return h.Takes },
+		func(h *Host) bool { return h.Alive && h.Zone == zone },
+		func(h *Host) bool { return h.Alive },
+	} {
+		var out []int
+		for i := range v.Hosts {
+			if fits(&v.Hosts[i]) {
+				out = append(out, i)
+			}
+		}
+		if len(out) > 0 {
+			return out
+		}
+	}
+	return nil
+}
+
+func (v *View) assign(targets, hosts []int) {
+	if len(hosts) == 0 {
+		return
+	}
+	slices.SortFunc(targets, func(a, b int) int { return cmp.Compare(v.Targets[a].ID, v.Targets[b].ID) })
+	seeds := make([]uint64, len(hosts))
+	for i, h := range hosts {
+		seeds[i] = xxhash.Sum64String(v.Hosts[h].Name)
+	}
+	room := (len(targets) + len(hosts) - 1) / len(hosts)
+	taken := make([]int, len(hosts))
+	for _, t := range targets {
+		best := -1
+		var bestHash uint64
+		for i := range hosts {
+			h := mix(uint64(v.Targets[t].ID), seeds[i])
+			if taken[i] < room && (best < 0 || h > bestHash) {
+				best = i
+				bestHash = h
+			}
+		}
+		taken[best]++
+		v.Targets[t].Home = hosts[best]
+	}
+}
+
+// previous notes for each target whose home moved where it was before.
+func (v *View) previous(before *View) {
+	for i := range v.Targets {
+		t := &v.Targets[i]
+		old, ok := before.byID[t.ID]
+		if !ok || before.Targets[old].Home < 0 {
+			continue
+		}
+		host := &before.Hosts[before.Targets[old].Home]
+		n, listed := v.byHost[host.Address]
+		if listed && n != t.Home {
+			t.Before = n
+			continue
+		}
+		// An unchanged home keeps the note of an earlier move, so that a second
+		// change soon after does not hide who still has the flows.
+		if earlier := before.Targets[old].Before; earlier >= 0 {
+			if m, ok := v.byHost[before.Hosts[earlier].Address]; ok && m != t.Home {
+				t.Before = m
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/hsrank/rank.go
@@ -0,0 +1,162 @@
+// Package hsrank decides where flows go: a pure function of the manifest, its
+// history and the entry hosts believed alive. Hosts with the same inputs come
+// to the same result without talking.
+package hsrank
+
+import (
+	"math"
+
+	"heatherstack.org/heatherstack/internal/hsmanifest"
+)
+
+type (
+	// generation is one generation of a service, grouped by availability zone.
+	generation struct {
+		zones []group
+	}
+
+	// group holds the members of one availability zone.
+	group struct {
+		zone int
+		// Hash of the zone's name.
+		seed    uint64
+		weight  uint32
+		members []member
+	}
+
+	// member is a target in a generation.
+	member struct {
+		// Index into View.Targets.
+		target int
+		seed   uint64
+		weight uint32
+	}
+)
+
+// MaxCandidates bounds the candidates of one flow.
+const MaxCandidates = 12
+
+// maxZones bounds the zones that one generation adds to the candidates.
+const maxZones = 4
+
+// mix returns a well-spread hash of a flow's hash and a seed (the finalizer of
+// MurmurHash3).
+func mix(hash, seed uint64) uint64 {
+	h := hash ^ seed
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	h *= 0xc4ceb9fe1a85ec53
+	h ^= h >> 33
+	return h
+}
+
+// score returns the weighted rendezvous score: the largest wins, and each
+// contender wins with a chance proportional to its weight.
+func score(h uint64, weight uint32) float64 {
+	const scale = 1.0 / (1 << 53)
+	u := (float64(h>>11) + 0.5) * scale
+	return float64(weight) / -math.Log(u)
+}
+
+// top returns the index of the highest-scored member other than skip, or -1.
+func (g *group) top(hash uint64, skip int) int {
+	best := -1
+	bestScore := -1.0
+	for i := range g.members {
+		m := &g.members[i]
+		if m.target == skip {
+			continue
+		}
+		if s := score(mix(hash, m.seed), m.weight); s > bestScore {
+			best = i
+			bestScore = s
+		}
+	}
+	if best < 0 {
+		return -1
+	}
+	return g.members[best].target
+}
+
+// order writes the indices of the best n zones into dst, best first.
+func (g *generation) order(hash uint64, dst []int) []int {
+	var scores [maxZones]float64
+	for i := range g.zones {
+		z := &g.zones[i]
+		s := score(mix(hash, z.seed), z.weight)
+		dst = insert(dst, scores[:], i, s)
+	}
+	return dst
+}
+
+// insert places zone i with score s into the short sorted list dst, whose
+// scores stand beside it, and drops what exceeds their length.
+func insert(dst []int, scores []float64, i int, s float64) []int {
+	at := len(dst)
+	for at > 0 && scores[at-1] < s {
+		at--
+	}
+	if at >= len(scores) {
+		return dst
+	}
+	if len(dst) < len(scores) {
+		dst = append(dst, 0)
+	}
+	copy(dst[at+1:], dst[at:])
+	copy(scores[at+1:], scores[at:len(scores)-1])
+	dst[at] = i
+	scores[at] = s
+	return dst
+}
+
+// rank appends the generation's ranking of a flow to dst: the best target of
+// each zone in the order of zones, then the second of the first zone. Two
+// neighbouring ranks are thus in different zones where there are several.
+func (g *generation) rank(hash uint64, dst []int) []int {
+	var room [maxZones]int
+	zones := g.order(hash, room[:0])
+	for _, z := range zones {
+		dst = appendNew(dst, g.zones[z].top(hash, -1))
+	}
+	if len(zones) > 0 {
+		first := &g.zones[zones[0]]
+		if second := first.top(hash, first.top(hash, -1)); second >= 0 {
+			dst = appendNew(dst, second)
+		}
+	}
+	return dst
+}
+
+func appendNew(dst []int, target int) []int {
+	for _, t := range dst {
+		if t == target {
+			return dst
+		}
+	}
+	if len(dst) == MaxCandidates {
+		return dst
+	}
+	return append(dst, target)
+}
+
+func newGeneration(v *View, members []hsmanifest.Member) generation {
+	g := generation{zones: make([]group, 0, len(v.Zones))}
+	at := make(map[int]int, len(v.Zones))
+	for _, m := range members {
+		t, ok := v.byID[m.ID]
+		if !ok {
+			continue
+		}
+		zone := v.Targets[t].Zone
+		i, ok := at[zone]
+		if !ok {
+			i = len(g.zones)
+			at[zone] = i
+			g.zones = append(g.zones, group{zone: zone, seed: seedOf(v.Zones[zone])})
+		}
+		g.zones[i].members = append(g.zones[i].members, member{target: t, seed: mix(uint64(m.ID), 0), weight: m.Weight})
+		g.zones[i].weight += m.Weight
+	}
+	return g
+}
--- /dev/null
+++ b/internal/hsrank/view.go
@@ -0,0 +1,303 @@
+package hsrank
+
+import (
+	"net/netip"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"heatherstack.org/heatherstack/internal/hsflow"
+	"heatherstack.org/heatherstack/internal/hsmanifest"
+)
+
+type (
+	// View is everything that decisions about flows depend on. It is
+	// immutable.
+	View struct {
+		Manifest *hsmanifest.Manifest
+		History  hsmanifest.History
+		// Names of availability zones, sorted.
+		Zones []string
+		// In the order of Manifest.Targets.
+		Targets []Target
+		// In the order of Manifest.Hosts.
+		Hosts []Host
+		// In the order of Manifest.Services.
+		Services []Service
+		// Index of this host in Hosts, or -1 if the manifest does not list it.
+		Self int
+
+		byID     map[hsmanifest.TargetID]int
+		byTarget map[netip.Addr]int
+		byHost   map[netip.Addr]int
+		byPlace  map[place]int
+		// Per zone, whether an entry host of it is believed alive, or none is
+		// listed, so that nothing speaks against its targets.
+		reachable []bool
+	}
+
+	// Target is a target as decisions see it.
+	Target struct {
+		ID      hsmanifest.TargetID
+		Address netip.Addr
+		// Index into View.Zones.
+		Zone        int
+		Live        bool
+		Connections int
+		Slots       int
+		Weight      uint32
+		// Index of the home in View.Hosts, or -1 if no entry host is alive.
+		Home int
+		// Index of the home in the view before, or -1 if unchanged or not listed.
+		Before int
+	}
+
+	// Host is an entry host as decisions see it.
+	Host struct {
+		Name    string
+		Address netip.Addr
+		// Index into View.Zones.
+		Zone int
+		// Believed alive, whether leaving or not.
+		Alive bool
+		// Takes homes: alive and not leaving.
+		Takes bool
+	}
+
+	// Service is a service as decisions see it.
+	Service struct {
+		Name       string
+		Proto      hsflow.Proto
+		Address    netip.AddrPort
+		Idempotent bool
+		// True if the address belonged to another service earlier.
+		Moved bool
+
+		// Newest first.
+		generations []generation
+		serves      map[int]bool
+	}
+
+	// Status is what membership holds about one entry host.
+	Status struct {
+		Alive   bool
+		Leaving bool
+	}
+
+	// Config holds the inputs of a view.
+	Config struct {
+		Manifest *hsmanifest.Manifest
+		History  hsmanifest.History
+		// Name of this entry host.
+		Self string
+		// By name; hosts that are not listed count as dead.
+		Members map[string]Status
+		// View that the new one replaces; may be nil.
+		Before *View
+	}
+
+	place struct {
+		address netip.AddrPort
+		proto   hsflow.Proto
+	}
+)
+
+// NewView returns the view that follows from cfg.
+func NewView(cfg Config) *View {
+	m := cfg.Manifest
+	v := &View{
+		Manifest: m,
+		History:  cfg.History,
+		Self:     -1,
+		byID:     make(map[hsmanifest.TargetID]int, len(m.Targets)),
+		byTarget: make(map[netip.Addr]int, len(m.Targets)),
+		byHost:   make(map[netip.Addr]int, len(m.Hosts)),
+		byPlace:  make(map[place]int, len(m.Services)),
+	}
+	v.zones()
+	v.hosts(cfg)
+	v.targets()
+	v.homes(cfg.Before)
+	v.services(cfg.Before)
+	return v
+}
+
+// Service returns the service at an address and protocol, or nil.
+func (v *View) Service(p hsflow.Proto, address netip.AddrPort) *Service {
+	n, ok := v.byPlace[place{address, p}]
+	if !ok {
+		return nil
+	}
+	return &v.Services[n]
+}
+
+// TargetAt returns the index of the target at an address.
+func (v *View) TargetAt(a netip.Addr) (int, bool) {
+	n, ok := v.byTarget[a]
+	return n, ok
+}
+
+// TargetByID returns the index of a target.
+func (v *View) TargetByID(id hsmanifest.TargetID) (int, bool) {
+	n, ok := v.byID[id]
+	return n, ok
+}
+
+// HostAt returns the index of the entry host at an address.
+func (v *View) HostAt(a netip.Addr) (int, bool) {
+	n, ok := v.byHost[a]
+	return n, ok
+}
+
+// Serves reports whether the target is listed for the service, live or leaving.
+func (s *Service) Serves(target int) bool {
+	return s.serves[target]
+}
+
+// Choices appends to dst the targets that a new flow may be placed on, best
+// first. They are live, and in a zone that is reachable unless none is.
+func (v *View) Choices(s *Service, hash uint64, dst []int) []int {
+	if len(s.generations) == 0 {
+		return dst
+	}
+	ranked := s.generations[0].rank(hash, dst)
+	kept := dst
+	for _, t := range ranked[len(dst):] {
+		if v.Targets[t].Live && v.reachable[v.Targets[t].Zone] {
+			kept = append(kept, t)
+		}
+	}
+	if len(kept) == len(dst) {
+		return ranked
+	}
+	return kept
+}
+
+// First returns the first choice, or -1. It is the fast path of Choices.
+func (v *View) First(s *Service, hash uint64) int {
+	if len(s.generations) == 0 {
+		return -1
+	}
+	g := &s.generations[0]
+	best := -1
+	bestScore := -1.0
+	for i := range g.zones {
+		z := &g.zones[i]
+		if !v.reachable[z.zone] {
+			continue
+		}
+		if s := score(mix(hash, z.seed), z.weight); s > bestScore {
+			best = i
+			bestScore = s
+		}
+	}
+	if best >= 0 {
+		if t := g.zones[best].top(hash, -1); v.Targets[t].Live {
+			return t
+		}
+	}
+	var room [MaxCandidates]int
+	if all := v.Choices(s, hash, room[:0]); len(all) > 0 {
+		return all[0]
+	}
+	return -1
+}
+
+// Candidates appends to dst the targets that may hold a flow, in the order in
+// which they are asked: the ranks of the newest generation, then of each older
+// one.
+func (v *View) Candidates(s *Service, hash uint64, dst []int) []int {
+	for i := range s.generations {
+		dst = s.generations[i].rank(hash, dst)
+	}
+	return dst
+}
+
+func (v *View) zones() {
+	for _, t := range v.Manifest.Targets {
+		v.Zones = append(v.Zones, t.Zone)
+	}
+	for _, h := range v.Manifest.Hosts {
+		v.Zones = append(v.Zones, h.Zone)
+	}
+	slices.Sort(v.Zones)
+	v.Zones = slices.Compact(v.Zones)
+}
+
+func (v *View) zone(name string) int {
+	n, _ := slices.BinarySearch(v.Zones, name)
+	return n
+}
+
+func (v *View) hosts(cfg Config) {
+	listed := make([]bool, len(v.Zones))
+	v.reachable = make([]bool, len(v.Zones))
+	for i, h := range v.Manifest.Hosts {
+		s := cfg.Members[h.Name]
+		out := Host{
+			Name:    h.Name,
+			Address: h.Address,
+			Zone:    v.zone(h.Zone),
+			Alive:   s.Alive,
+			Takes:   s.Alive && !s.Leaving && h.State == hsmanifest.Live,
+		}
+		if h.Name == cfg.Self {
+			v.Self = i
+		}
+		listed[out.Zone] = true
+		v.reachable[out.Zone] = v.reachable[out.Zone] || out.Alive
+		v.byHost[h.Address] = i
+		v.Hosts = append(v.Hosts, out)
+	}
+	for zone := range v.reachable {
+		v.reachable[zone] = v.reachable[zone] || !listed[zone]
+	}
+}
+
+func (v *View) targets() {
+	for i, t := range v.Manifest.Targets {
+		v.Targets = append(v.Targets, Target{
+			ID:          t.ID,
+			Address:     t.Address,
+			Zone:        v.zone(t.Zone),
+			Live:        t.State == hsmanifest.Live,
+			Connections: t.Connections,
+			Slots:       t.Slots,
+			Weight:      t.Weight,
+			Home:        -1,
+			Before:      -1,
+		})
+		v.byID[t.ID] = i
+		v.byTarget[t.Address] = i
+	}
+}
+
+func (v *View) services(before *View) {
+	for i := range v.Manifest.Services {
+		s := &v.Manifest.Services[i]
+		out := Service{
+			Name:       s.Name,
+			Proto:      s.Proto,
+			Address:    s.Address,
+			Idempotent: s.Idempotent,
+			serves:     make(map[int]bool, len(s.Targets)),
+		}
+		for _, t := range s.Targets {
+			out.serves[t] = true
+		}
+		for _, g := range v.History[s.Name] {
+			out.generations = append(out.generations, newGeneration(v, g.Members))
+		}
+		if before != nil {
+			if old := before.Service(s.Proto, s.Address); old != nil {
+				out.Moved = old.Moved || old.Name != s.Name
+			}
+		}
+		v.byPlace[place{s.Address, s.Proto}] = i
+		v.Services = append(v.Services, out)
+	}
+}
+
+func seedOf(name string) uint64 {
+	return xxhash.Sum64String(name)
+}
--- /dev/null
+++ b/internal/hsroster/message.go
@@ -0,0 +1,183 @@
+package hsroster
+
+import (
+	"slices"
+	"time"
+
+	"heatherstack.org/heatherstack/internal/hscode"
+	"heatherstack.org/heatherstack/internal/hsschema"
+)
+
+// Receive takes a heartbeat whose MAC was verified. It returns a code other
+// than OK if the message was dropped.
+func (r *Roster) Receive(now time.Time, hb *hsschema.Heartbeat) (Output, hscode.Code) {
+	r.begin()
+	m := r.members[hb.GetFrom()]
+	if m == nil {
+		return r.out, hscode.PeerUnknown
+	}
+	if hb.GetBoot() < m.boot {
+		return r.out, hscode.PeerOldBoot
+	}
+	r.heardFrom(now, m, hb)
+	r.rumors(now, hb)
+	switch hb.GetKind() {
+	case hsschema.Heartbeat_KIND_PING:
+		r.send(m.name, hsschema.Heartbeat_KIND_ACK, hb.GetSeq(), "")
+	case hsschema.Heartbeat_KIND_ACK:
+		r.acked(now, hb)
+	case hsschema.Heartbeat_KIND_PROBE:
+		r.relayProbe(now, hb)
+	default:
+		return r.out, hscode.PeerMessage
+	}
+	return r.out, hscode.OK
+}
+
+// heardFrom notes that the member itself spoke, which proves it alive.
+func (r *Roster) heardFrom(now time.Time, m *member, hb *hsschema.Heartbeat) {
+	if hb.GetBoot() > m.boot {
+		m.boot = hb.GetBoot()
+		m.refute = 0
+	}
+	m.heard = now
+	m.version = hb.GetVersion()
+	m.digest = hb.GetDigest()
+	if hb.GetLeaving() {
+		r.set(now, m, Leaving)
+	} else {
+		r.set(now, m, Alive)
+	}
+	if m.version > r.version || (m.version == r.version && m.digest > r.digest) {
+		r.out.Newer = m.name
+	}
+}
+
+// acked ends a probe, or passes the answer to an indirect one on.
+func (r *Roster) acked(now time.Time, hb *hsschema.Heartbeat) {
+	if about := hb.GetAbout(); about != "" {
+		if m := r.members[about]; m != nil && m.state != Dead {
+			m.heard = now
+			if m.state == Suspect {
+				r.set(now, m, Alive)
+			}
+		}
+		delete(r.probes, hb.GetSeq())
+		return
+	}
+	if rl, ok := r.relays[hb.GetSeq()]; ok {
+		delete(r.relays, hb.GetSeq())
+		r.send(rl.asker, hsschema.Heartbeat_KIND_ACK, rl.seq, hb.GetFrom())
+		return
+	}
+	delete(r.probes, hb.GetSeq())
+}
+
+func (r *Roster) relayProbe(now time.Time, hb *hsschema.Heartbeat) {
+	if r.members[hb.GetAbout()] == nil {
+		return
+	}
+	r.seq++
+	r.relays[r.seq] = relay{asker: hb.GetFrom(), seq: hb.GetSeq(), at: now}
+	r.send(hb.GetAbout(), hsschema.Heartbeat_KIND_PING, r.seq, "")
+}
+
+// rumors takes what others hold about members. What this host heard itself
+// since is better evidence than a rumor.
+func (r *Roster) rumors(now time.Time, hb *hsschema.Heartbeat) {
+	for _, rumor := range hb.GetRumors() {
+		if rumor.GetHost() == r.cfg.Self {
+			r.refuteRumor(now, rumor)
+			continue
+		}
+		m := r.members[rumor.GetHost()]
+		if m == nil || rumor.GetBoot() < m.boot {
+			continue
+		}
+		r.rumor(now, m, rumor)
+	}
+}
+
+func (r *Roster) rumor(now time.Time, m *member, rumor *hsschema.Rumor) {
+	fresh := now.Sub(m.heard) < r.cfg.Suspect
+	switch rumor.GetState() {
+	case hsschema.Rumor_STATE_ALIVE:
+		if rumor.GetRefute() > m.refute {
+			m.refute = rumor.GetRefute()
+			if m.state == Suspect {
+				r.set(now, m, Alive)
+			}
+		}
+	case hsschema.Rumor_STATE_SUSPECT:
+		if !fresh && m.state == Alive && rumor.GetRefute() >= m.refute {
+			r.set(now, m, Suspect)
+		}
+	case hsschema.Rumor_STATE_DEAD:
+		if !fresh && m.state != Dead && rumor.GetRefute() >= m.refute {
+			r.set(now, m, Dead)
+		}
+	case hsschema.Rumor_STATE_LEAVING:
+		if m.state == Alive && rumor.GetBoot() == m.boot {
+			r.set(now, m, Leaving)
+		}
+	}
+}
+
+// refuteRumor answers a suspicion about this host with a higher refute number.
+func (r *Roster) refuteRumor(now time.Time, rumor *hsschema.Rumor) {
+	bad := rumor.GetState() == hsschema.Rumor_STATE_SUSPECT || rumor.GetState() == hsschema.Rumor_STATE_DEAD
+	if !bad || rumor.GetBoot() > r.cfg.Boot || rumor.GetRefute() < r.refute {
+		return
+	}
+	r.refute = rumor.GetRefute() + 1
+	r.tellAll(now)
+}
+
+func (r *Roster) send(to string, kind hsschema.Heartbeat_Kind, seq uint64, about string) {
+	hb := &hsschema.Heartbeat{
+		Kind:    kind,
+		From:    r.cfg.Self,
+		Boot:    r.cfg.Boot,
+		Seq:     seq,
+		About:   about,
+		Version: r.version,
+		Digest:  r.digest,
+		Leaving: r.leaving,
+		Rumors:  r.pickRumors(),
+		Loads:   r.loads,
+	}
+	r.out.Sends = append(r.out.Sends, Send{To: to, Message: hb})
+}
+
+// pickRumors returns the changes that were spread least.
+func (r *Roster) pickRumors() []*hsschema.Rumor {
+	var fresh []*member
+	for _, name := range sortedKeys(r.members) {
+		if m := r.members[name]; m.spread < spreadTimes {
+			fresh = append(fresh, m)
+		}
+	}
+	slices.SortStableFunc(fresh, func(a, b *member) int { return a.spread - b.spread })
+	var out []*hsschema.Rumor
+	if r.refute > 0 {
+		out = append(out, &hsschema.Rumor{Host: r.cfg.Self, Boot: r.cfg.Boot, Refute: r.refute, State: hsschema.Rumor_STATE_ALIVE})
+	}
+	for _, m := range fresh[:min(len(fresh), maxRumors)] {
+		m.spread++
+		out = append(out, &hsschema.Rumor{Host: m.name, Boot: m.boot, Refute: m.refute, State: rumorState(m.state)})
+	}
+	return out
+}
+
+func rumorState(s State) hsschema.Rumor_State {
+	switch s {
+	case Suspect:
+		return hsschema.Rumor_STATE_SUSPECT
+	case Dead:
+		return hsschema.Rumor_STATE_DEAD
+	case Leaving:
+		return hsschema.Rumor_STATE_LEAVING
+	default:
+		return hsschema.Rumor_STATE_ALIVE
+	}
+}
--- /dev/null
+++ b/internal/hsroster/roster.go
@@ -0,0 +1,374 @@
+// Package hsroster decides which entry hosts are alive. It probes members
+// directly and through others (after SWIM: Das, Gupta, Motivala, 2002), within
+// the bounds of the published host list, and spreads what it finds on the
+// probes themselves.
+//
+// A Roster does no I/O and reads no clock.
+package hsroster
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"heatherstack.org/heatherstack/internal/hsmanifest"
+	"heatherstack.org/heatherstack/internal/hsrank"
+	"heatherstack.org/heatherstack/internal/hsschema"
+)
+
+type (
+	// State is what a roster holds about a member.
+	State uint8
+
+	// Config holds the settings of a Roster.
+	Config struct {
+		// Name of this entry host.
+		Self string
+		// Boot number of this process; rises with each start.
+		Boot uint64
+		// Interval between probes.
+		Probe time.Duration
+		// Time from suspicion to death.
+		Suspect time.Duration
+		// Seed of the order of probes.
+		Seed uint64
+	}
+
+	// Send is a heartbeat to a member.
+	Send struct {
+		To      string
+		Message *hsschema.Heartbeat
+	}
+
+	// Output is the effect of one step.
+	Output struct {
+		Sends []Send
+		// True if the members alive or leaving changed.
+		Changed bool
+		// Member that has a newer manifest in force, or empty.
+		Newer string
+	}
+
+	// Roster is the membership core of one entry host. It is not safe for
+	// concurrent use.
+	Roster struct {
+		cfg Config
+		rng *rand.Rand
+		// By name, without this host.
+		members map[string]*member
+		// Names of members in the order of probes.
+		order []string
+		next  int
+		seq   uint64
+		// Direct probes without answer, by sequence number.
+		probes map[uint64]*probe
+		// Indirect probes made for others, by sequence number.
+		relays  map[uint64]relay
+		probeAt time.Time
+		leaving bool
+		refute  uint32
+		version uint64
+		digest  uint64
+		loads   []*hsschema.Load
+		out     Output
+	}
+
+	member struct {
+		name  string
+		state State
+		// Highest boot number seen; zero before the first message.
+		boot   uint64
+		refute uint32
+		// Time of the last change of state.
+		since time.Time
+		// Time of the last message from the member itself.
+		heard time.Time
+		// Times that the present state was spread.
+		spread  int
+		version uint64
+		digest  uint64
+	}
+
+	probe struct {
+		to string
+		at time.Time
+		// True once others were asked to probe.
+		indirect bool
+	}
+
+	relay struct {
+		asker string
+		seq   uint64
+		at    time.Time
+	}
+)
+
+// States of a member.
+const (
+	Alive State = iota + 1
+	Suspect
+	Dead
+	Leaving
+)
+
+const (
+	// relayCount is the number of members asked to probe indirectly.
+	relayCount = 2
+	// maxRumors bounds the rumors of one heartbeat.
+	maxRumors = 6
+	// spreadTimes is how often a change is spread by each member.
+	spreadTimes = 6
+)
+
+// New returns a roster without members.
+func New(cfg Config) *Roster {
+	return &Roster{
+		cfg:     cfg,
+		rng:     rand.New(rand.NewPCG(cfg.Seed, cfg.Boot)),
+		members: map[string]*member{},
+		probes:  map[uint64]*probe{},
+		relays:  map[uint64]relay{},
+	}
+}
+
+// SetHosts takes the published host list as the bound of who may be a member.
+// New members count as alive until a probe says otherwise.
+func (r *Roster) SetHosts(now time.Time, hosts []hsmanifest.Host) Output {
+	r.begin()
+	listed := make(map[string]bool, len(hosts))
+	for _, h := range hosts {
+		listed[h.Name] = true
+		if h.Name == r.cfg.Self || r.members[h.Name] != nil {
+			continue
+		}
+		r.members[h.Name] = &member{name: h.Name, state: Alive, since: now, heard: now, spread: spreadTimes}
+		r.out.Changed = true
+	}
+	for name := range r.members {
+		if !listed[name] {
+			delete(r.members, name)
+			r.out.Changed = true
+		}
+	}
+	r.shuffle()
+	return r.out
+}
+
+// SetForce notes the manifest in force here, which heartbeats carry, and tells
+// all members at once, so that a change spreads faster than the probes.
+func (r *Roster) SetForce(now time.Time, version, digest uint64) Output {
+	r.begin()
+	r.version = version
+	r.digest = digest
+	r.tellAll(now)
+	return r.out
+}
+
+// SetLoads notes the loads of the targets homed here, which heartbeats carry.
+func (r *Roster) SetLoads(loads []*hsschema.Load) {
+	r.loads = loads
+}
+
+// Leave announces this host's planned stop.
+func (r *Roster) Leave(now time.Time) Output {
+	r.begin()
+	r.leaving = true
+	r.tellAll(now)
+	return r.out
+}
+
+// Wake forgives the silence that this process's own pause caused.
+func (r *Roster) Wake(now time.Time) Output {
+	r.begin()
+	for _, m := range r.members {
+		m.heard = now
+		if m.state == Suspect {
+			m.since = now
+		}
+	}
+	clear(r.probes)
+	clear(r.relays)
+	r.probeAt = now
+	r.tellAll(now)
+	return r.out
+}
+
+// Status returns what ranking needs, this host included.
+func (r *Roster) Status() map[string]hsrank.Status {
+	out := make(map[string]hsrank.Status, len(r.members)+1)
+	for name, m := range r.members {
+		out[name] = hsrank.Status{Alive: m.state != Dead, Leaving: m.state == Leaving}
+	}
+	out[r.cfg.Self] = hsrank.Status{Alive: true, Leaving: r.leaving}
+	return out
+}
+
+// AliveCount returns the number of members believed alive, without this host.
+func (r *Roster) AliveCount() int {
+	n := 0
+	for _, m := range r.members {
+		if m.state != Dead {
+			n++
+		}
+	}
+	return n
+}
+
+// Tick lets time pass. It is due at least four times per probe interval.
+func (r *Roster) Tick(now time.Time) Output {
+	r.begin()
+	r.stepProbes(now)
+	r.stepSuspects(now)
+	if now.Sub(r.probeAt) >= r.cfg.Probe {
+		r.probeAt = now
+		r.probeNext(now)
+		r.probeDead(now)
+	}
+	for seq, rl := range r.relays {
+		if now.Sub(rl.at) > r.cfg.Suspect {
+			delete(r.relays, seq)
+		}
+	}
+	return r.out
+}
+
+func (r *Roster) begin() {
+	r.out = Output{}
+}
+
+func (r *Roster) shuffle() {
+	r.order = r.order[:0]
+	for name := range r.members {
+		r.order = append(r.order, name)
+	}
+	slices.Sort(r.order)
+	r.rng.Shuffle(len(r.order), func(i, j int) { r.order[i], r.order[j] = r.order[j], r.order[i] })
+	r.next = 0
+}
+
+// probeNext probes the next member in an order that is shuffled each round, so
+// that every member is probed once a round.
+func (r *Roster) probeNext(now time.Time) {
+	for range r.order {
+		if r.next >= len(r.order) {
+			r.shuffle()
+		}
+		m := r.members[r.order[r.next]]
+		r.next++
+		if m != nil && m.state != Dead {
+			r.ping(now, m.name)
+			return
+		}
+	}
+}
+
+// probeDead probes one dead member, so that a healed partition or a member
+// that returned is noticed from both sides.
+func (r *Roster) probeDead(now time.Time) {
+	var dead []string
+	for _, name := range r.order {
+		if m := r.members[name]; m != nil && m.state == Dead {
+			dead = append(dead, name)
+		}
+	}
+	if len(dead) == 0 {
+		return
+	}
+	r.seq++
+	r.send(dead[r.rng.IntN(len(dead))], hsschema.Heartbeat_KIND_PING, r.seq, "")
+}
+
+func (r *Roster) ping(now time.Time, to string) {
+	r.seq++
+	r.probes[r.seq] = &probe{to: to, at: now}
+	r.send(to, hsschema.Heartbeat_KIND_PING, r.seq, "")
+}
+
+func (r *Roster) tellAll(now time.Time) {
+	names := make([]string, 0, len(r.members))
+	for name := range r.members {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		r.ping(now, name)
+	}
+}
+
+// stepProbes asks others to probe members that did not answer, and suspects
+// those that did not answer them either.
+func (r *Roster) stepProbes(now time.Time) {
+	for _, seq := range sortedKeys(r.probes) {
+		p := r.probes[seq]
+		age := now.Sub(p.at)
+		if age >= r.cfg.Probe {
+			delete(r.probes, seq)
+			r.suspect(now, p)
+			continue
+		}
+		if age >= r.cfg.Probe/3 && !p.indirect {
+			p.indirect = true
+			r.probeThrough(seq, p.to)
+		}
+	}
+}
+
+func (r *Roster) probeThrough(seq uint64, about string) {
+	var others []string
+	for _, name := range r.order {
+		if m := r.members[name]; m != nil && m.state == Alive && name != about {
+			others = append(others, name)
+		}
+	}
+	r.rng.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	for _, name := range others[:min(relayCount, len(others))] {
+		r.send(name, hsschema.Heartbeat_KIND_PROBE, seq, about)
+	}
+}
+
+// suspect notes that a probe failed, unless the member was heard of since.
+func (r *Roster) suspect(now time.Time, p *probe) {
+	m := r.members[p.to]
+	if m == nil || m.heard.After(p.at) || (m.state != Alive && m.state != Leaving) {
+		return
+	}
+	r.set(now, m, Suspect)
+}
+
+func (r *Roster) stepSuspects(now time.Time) {
+	for _, m := range r.members {
+		if m.state == Suspect && now.Sub(m.since) >= r.cfg.Suspect {
+			r.set(now, m, Dead)
+		}
+	}
+}
+
+func (r *Roster) set(now time.Time, m *member, s State) {
+	if m.state == s {
+		return
+	}
+	// Suspicion alone changes nothing for ranking.
+	if ranked(m.state) != ranked(s) {
+		r.out.Changed = true
+	}
+	m.state = s
+	m.since = now
+	m.spread = 0
+}
+
+func ranked(s State) State {
+	if s == Suspect {
+		return Alive
+	}
+	return s
+}
+
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
+	keys := make([]K, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
--- /dev/null
+++ b/internal/hssettings/settings.go
@@ -0,0 +1,249 @@
+// Package hssettings reads and checks the settings of hsentry. The schema
+// names each setting once; its flag, environment variable, default and help
+// text all follow from there.
+package hssettings
+
+import (
+	"net/netip"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protoreflect"
+
+	"heatherstack.org/heatherstack/internal/hscode"
+	"heatherstack.org/heatherstack/internal/hskey"
+	"heatherstack.org/heatherstack/internal/hsschema"
+)
+
+type (
+	// Settings are the checked settings of one entry host.
+	Settings struct {
+		Name     string
+		Address  netip.Addr
+		Zone     string
+		Platform *url.URL
+		// Gateway of the fabric towards callers.
+		Fabric netip.AddrPort
+		// Ports of the data, control and peer sockets; all differ from zero.
+		Data    uint16
+		Control uint16
+		Peer    uint16
+		// Admin page; not valid if there is none.
+		Admin  netip.AddrPort
+		Key    string
+		OldKey string
+		// Positive, as are all durations.
+		Probe   time.Duration
+		Suspect time.Duration
+		Lease   time.Duration
+		Drain   time.Duration
+		Idle    time.Duration
+		// At least 1.
+		Flows int
+		Level string
+	}
+
+	// Field describes one setting.
+	Field struct {
+		Name     string
+		Env      string
+		Help     string
+		Default  string
+		Required bool
+	}
+
+	// Faults lists everything wrong with the settings.
+	Faults []*hscode.Error
+
+	checker struct {
+		values map[string]string
+		faults Faults
+	}
+)
+
+// EnvPrefix starts the names of all environment variables.
+const EnvPrefix = "HSENTRY_"
+
+const (
+	maxFlows    = 50_000_000
+	minInterval = 10 * time.Millisecond
+	maxInterval = 30 * 24 * time.Hour
+)
+
+var levels = []string{"debug", "info", "warn", "error"}
+
+// Fields returns all settings in the order of the schema.
+func Fields() []Field {
+	list := (&hsschema.Settings{}).ProtoReflect().Descriptor().Fields()
+	out := make([]Field, list.Len())
+	for i := range out {
+		out[i] = field(list.Get(i))
+	}
+	return out
+}
+
+func field(d protoreflect.FieldDescriptor) Field {
+	s, _ := proto.GetExtension(d.Options(), hsschema.E_Setting).(*hsschema.Setting)
+	name := string(d.Name())
+	return Field{
+		Name:     name,
+		Env:      EnvPrefix + strings.ToUpper(name),
+		Help:     s.GetHelp(),
+		Default:  s.GetValue(),
+		Required: s.GetRequired(),
+	}
+}
+
+// Error implements error, one fault a line.
+func (f Faults) Error() string {
+	lines := make([]string, len(f))
+	for i, e := range f {
+		lines[i] = e.Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Parse checks all values by name and returns the settings or all faults.
+// Settings without a value take their default.
+func Parse(values map[string]string) (Settings, Faults) {
+	c := &checker{values: map[string]string{}}
+	for _, f := range Fields() {
+		v, ok := values[f.Name]
+		if !ok || v == "" {
+			v = f.Default
+		}
+		if v == "" && f.Required {
+			c.fault(hscode.SettingMissing, f.Name, "is not set; use --%s or %s", f.Name, f.Env)
+		}
+		c.values[f.Name] = v
+	}
+	return c.settings(), c.faults
+}
+
+func (c *checker) settings() Settings {
+	s := Settings{
+		Name:     c.values["name"],
+		Address:  c.addr("address"),
+		Zone:     c.values["zone"],
+		Platform: c.url("platform"),
+		Fabric:   c.addrPort("fabric"),
+		Data:     c.port("data"),
+		Control:  c.port("control"),
+		Peer:     c.port("peer"),
+		Admin:    c.addrPort("admin"),
+		Key:      c.values["key"],
+		OldKey:   c.values["oldkey"],
+		Probe:    c.duration("probe"),
+		Suspect:  c.duration("suspect"),
+		Lease:    c.duration("lease"),
+		Drain:    c.duration("drain"),
+		Idle:     c.duration("idle"),
+		Flows:    c.number("flows", 1, maxFlows),
+		Level:    c.word("level", levels),
+	}
+	c.keys(s)
+	c.exposure(s)
+	return s
+}
+
+func (c *checker) keys(s Settings) {
+	if s.Key == "" {
+		return
+	}
+	if _, err := hskey.NewRing(s.Key, s.OldKey); err != nil {
+		if coded, ok := err.(*hscode.Error); ok {
+			c.faults = append(c.faults, coded)
+		}
+	}
+}
+
+// exposure refuses a plain-text admin page that others could reach.
+func (c *checker) exposure(s Settings) {
+	if s.Admin.IsValid() && !s.Admin.Addr().IsLoopback() {
+		c.fault(hscode.SettingExposed, "admin", "%s is not a loopback address", s.Admin)
+	}
+}
+
+func (c *checker) fault(code hscode.Code, name, format string, args ...any) {
+	c.faults = append(c.faults, hscode.New(code, name, format, args...))
+}
+
+func (c *checker) addr(name string) netip.Addr {
+	v := c.values[name]
+	if v == "" {
+		return netip.Addr{}
+	}
+	a, err := netip.ParseAddr(v)
+	if err != nil || a.IsUnspecified() || a.Zone() != "" {
+		c.fault(hscode.SettingValue, name, "%q is not an IP address", v)
+	}
+	return a
+}
+
+func (c *checker) addrPort(name string) netip.AddrPort {
+	v := c.values[name]
+	if v == "" {
+		return netip.AddrPort{}
+	}
+	a, err := netip.ParseAddrPort(v)
+	if err != nil || a.Port() == 0 {
+		c.fault(hscode.SettingValue, name, "%q is not IP:port", v)
+	}
+	return a
+}
+
+func (c *checker) url(name string) *url.URL {
+	v := c.values[name]
+	if v == "" {
+		return nil
+	}
+	u, err := url.Parse(v)
+	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
+		c.fault(hscode.SettingValue, name, "%q is not an http or https URL", v)
+	}
+	return u
+}
+
+func (c *checker) port(name string) uint16 {
+	return uint16(c.number(name, 1, 1<<16-1))
+}
+
+func (c *checker) number(name string, low, high int) int {
+	v := c.values[name]
+	n, err := strconv.Atoi(v)
+	if err != nil {
+		c.fault(hscode.SettingValue, name, "%q is not a whole number", v)
+		return low
+	}
+	if n < low || n > high {
+		c.fault(hscode.SettingRange, name, "is %d, want %d to %d", n, low, high)
+	}
+	return n
+}
+
+func (c *checker) duration(name string) time.Duration {
+	v := c.values[name]
+	d, err := time.ParseDuration(v)
+	if err != nil {
+		c.fault(hscode.SettingValue, name, "%q is not a duration such as 250ms or 2s", v)
+		return minInterval
+	}
+	if d < minInterval || d > maxInterval {
+		c.fault(hscode.SettingRange, name, "is %s, want %s to %s", d, minInterval, maxInterval)
+	}
+	return d
+}
+
+func (c *checker) word(name string, words []string) string {
+	v := c.values[name]
+	for _, w := range words {
+		if v == w {
+			return v
+		}
+	}
+	c.fault(hscode.SettingValue, name, "is %q, want %s", v, strings.Join(words, ", "))
+	return words[0]
+}
