Give starting hosts the placement history and restart recoveries with a new view

Recoveries kept host numbers of a view that was replaced meanwhile, which crashed the switch task once hosts were removed. A host's stop failed when its listener was closed before its server.

Change: heartbeats carry a digest of the history, hosts that differ fetch it, a host places nothing and resets nobody until a peer confirms its view; recoveries name hosts by address and begin anew with each view; a stopping host says goodbye; UDP flows are never recovered onto a leaving target.

--- a/internal/hsentry/admin.go
+++ b/internal/hsentry/admin.go
@@ -34,7 +34,10 @@
 	Counters map[string]uint64
 }
 
-const headerTimeout = 5 * time.Second
+const (
+	headerTimeout = 5 * time.Second
+	statusTimeout = time.Second
+)
 
 func (e *Entry) runAdmin(ctx context.Context) error {
 	if e.sockets.admin == nil {
@@ -59,13 +62,18 @@
 	})
 	g.Go(func() error {
 		<-ctx.Done()
-		return errors.Trace(server.Close())
+		// The listener may be closed already, which is no error.
+		_ = server.Close()
+		return nil
 	})
 	return g.Wait()
 }
 
-// Status asks the tasks for their status.
+// Status asks the tasks for their status. It returns false if they do not
+// answer, as when the process is paused or stopping.
 func (e *Entry) Status(ctx context.Context) (Status, bool) {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
 	fromSwitch := make(chan SwitchStatus, 1)
 	sw, ok := ask(ctx, e.toSwitch, switchMessage{status: fromSwitch}, fromSwitch)
 	if !ok {
--- a/internal/hsentry/control.go
+++ b/internal/hsentry/control.go
@@ -79,12 +79,15 @@
 		// True while no peer has confirmed that the view is current.
 		waiting   bool
 		waitSince time.Time
-		ticked    time.Time
-		fetched   time.Time
-		leaving   bool
-		reader    bool
-		sent      uint64
-		received  uint64
+		// True if a peer's history was learned since the wait began.
+		learned  bool
+		ticked   time.Time
+		fetched  time.Time
+		leaving  bool
+		gone     bool
+		reader   bool
+		sent     uint64
+		received uint64
 	}
 )
 
@@ -104,6 +107,9 @@
 	readersPerZone = 2
 	// fetchInterval is the least time between two fetches from peers.
 	fetchInterval = 100 * time.Millisecond
+	// compareInterval is the least time between a fetch and one that only
+	// learns history.
+	compareInterval = 300 * time.Millisecond
 	// aloneAfter is how many suspicion times a host without peers waits before
 	// it takes its view for current.
 	aloneAfter = 2
@@ -191,6 +197,7 @@
 		c.offer(ctx, now, m)
 	case loadMessage:
 		c.load(now, m)
+		c.endStop(ctx, now, m.quiet)
 	case pausedMessage:
 		c.wake(ctx, now)
 	case leaveMessage:
@@ -221,6 +228,7 @@
 func (c *controller) wake(ctx context.Context, now time.Time) {
 	c.waiting = true
 	c.waitSince = now
+	c.learned = false
 	c.toSwitch(ctx, hshome.Input{Kind: hshome.InPause})
 	c.apply(ctx, now, c.roster.Wake(now))
 }
@@ -250,14 +258,27 @@
 	if len(hb.GetLoads()) > 0 {
 		c.toSwitch(ctx, hshome.Input{Kind: hshome.InLoads, Loads: loadsOf(hb)})
 	}
-	if manifest, _ := c.keeper.Current(); c.waiting && hb.GetVersion() <= manifest.Version {
+	if c.waiting && c.confirmed(hb) {
 		c.resume(ctx)
 	}
 }
 
+// confirmed reports whether a peer's heartbeat shows that the view is current:
+// the peer has nothing newer, and either the same history or its history was
+// learned since the wait began.
+func (c *controller) confirmed(hb *hsschema.Heartbeat) bool {
+	manifest, history := c.keeper.Current()
+	if hb.GetVersion() > manifest.Version {
+		return false
+	}
+	return c.learned || hb.GetHistory() == history.Digest()
+}
+
 // offer takes a manifest from the platform or a peer.
 func (c *controller) offer(ctx context.Context, now time.Time, m *controlMessage) {
+	before, _ := c.keeper.Current()
 	changed, code := c.keeper.Offer(m.manifest, m.history)
+	c.learned = c.learned || m.history != nil
 	if code != hscode.OK {
 		c.counts[code]++
 		c.e.log(log.WarnLevel, code).Uint64("version", m.manifest.Version).Msg(hscode.Lookup(code).Text)
@@ -265,12 +286,17 @@
 	if !changed {
 		return
 	}
-	manifest, _ := c.keeper.Current()
+	manifest, history := c.keeper.Current()
+	if manifest == before {
+		c.roster.SetHistory(history.Digest())
+		c.rebuild(ctx)
+		return
+	}
 	c.since = now
 	out := c.roster.SetHosts(now, manifest.Hosts)
 	c.apply(ctx, now, out)
 	c.rebuild(ctx)
-	c.apply(ctx, now, c.roster.SetForce(now, manifest.Version, manifest.Digest))
+	c.apply(ctx, now, c.roster.SetForce(now, manifest.Version, manifest.Digest, history.Digest()))
 	c.e.log(log.InfoLevel, hscode.OK).Uint64("version", manifest.Version).Msg("manifest in force")
 }
 
@@ -284,13 +310,16 @@
 		c.waiting = true
 		c.waitSince = now
 	}
-	if m.quiet && c.leaving {
-		select {
-		case <-c.e.stopped:
-		default:
-			close(c.e.stopped)
-		}
+}
+
+// endStop says goodbye and ends a planned stop once the switch task is quiet.
+func (c *controller) endStop(ctx context.Context, now time.Time, quiet bool) {
+	if !quiet || !c.leaving || c.gone {
+		return
 	}
+	c.gone = true
+	c.apply(ctx, now, c.roster.Gone(now))
+	close(c.e.stopped)
 }
 
 // apply carries out what the roster decided.
@@ -301,9 +330,13 @@
 	if out.Changed && c.view != nil {
 		c.rebuild(ctx)
 	}
-	if out.Newer != "" && now.Sub(c.fetched) >= fetchInterval {
+	switch {
+	case out.Newer != "" && now.Sub(c.fetched) >= fetchInterval:
 		c.fetched = now
 		c.fetch(out.Newer)
+	case out.Differs != "" && now.Sub(c.fetched) >= compareInterval:
+		c.fetched = now
+		c.fetch(out.Differs)
 	}
 }
 
--- a/internal/hsentry/peer.go
+++ b/internal/hsentry/peer.go
@@ -48,6 +48,7 @@
 const (
 	callTimeout   = 2 * time.Second
 	handoverTries = 3
+	handoverPause = 50 * time.Millisecond
 	macHeader     = "Heatherstack-Mac"
 	// entryOpen is the state of a handed entry whose connection is open.
 	entryOpen = 1
@@ -82,6 +83,7 @@
 		if err = p.handOver(ctx, m); err == nil || ctx.Err() != nil {
 			return
 		}
+		sleep(ctx, handoverPause)
 	}
 	p.e.log(log.WarnLevel, hscode.PeerHandover).Str("to", m.to.String()).Err(err).Msg("handover failed")
 }
@@ -141,13 +143,12 @@
 			entries = append(entries, entry)
 		}
 	}
-	m := switchMessage{input: hshome.Input{Kind: hshome.InEntries, Entries: entries}}
-	select {
-	case s.e.toSwitch <- m:
-		return connect.NewResponse(&hsschema.HandoverResponse{Taken: uint32(len(entries))}), nil
-	case <-ctx.Done():
-		return nil, connect.NewError(connect.CodeUnavailable, errors.Trace(ctx.Err()))
+	taken := make(chan bool, 1)
+	m := switchMessage{input: hshome.Input{Kind: hshome.InEntries, Entries: entries}, taken: taken}
+	if ready, ok := ask(ctx, s.e.toSwitch, m, taken); !ok || !ready {
+		return nil, connect.NewError(connect.CodeUnavailable, hscode.New(hscode.PeerHandover, "call", "not ready"))
 	}
+	return connect.NewResponse(&hsschema.HandoverResponse{Taken: uint32(len(entries))}), nil
 }
 
 // Fetch implements the Peer service.
--- a/internal/hsentry/switch.go
+++ b/internal/hsentry/switch.go
@@ -22,6 +22,8 @@
 		input hshome.Input
 		// If set, the task answers with its status instead.
 		status chan<- SwitchStatus
+		// If set, the task says whether it could take the input.
+		taken chan<- bool
 	}
 
 	// SwitchStatus is what the switch task tells the status page.
@@ -207,6 +209,9 @@
 		m.status <- s.status()
 		return
 	}
+	if m.taken != nil {
+		m.taken <- s.core != nil
+	}
 	s.input = m.input
 	switch {
 	case m.input.Kind == hshome.InView && s.core == nil:
--- a/internal/hshome/caller.go
+++ b/internal/hshome/caller.go
@@ -1,6 +1,8 @@
 package hshome
 
 import (
+	"net/netip"
+
 	"heatherstack.org/heatherstack/internal/hscode"
 	"heatherstack.org/heatherstack/internal/hsflow"
 	"heatherstack.org/heatherstack/internal/hsmanifest"
@@ -240,7 +242,7 @@
 
 // exact takes a caller's packet from a host that holds the flow as an
 // exception, or that tries it on a target homed here.
-func (c *Core) exact(p *hspacket.Packet, via int) {
+func (c *Core) exact(p *hspacket.Packet, via netip.Addr) {
 	s := c.view.Service(p.Proto, p.Dst)
 	at, ok := c.view.TargetByID(hsmanifest.TargetID(p.Steer.Target))
 	if s == nil || !ok || !s.Serves(at) {
@@ -273,7 +275,7 @@
 
 // takeExact holds a flow that another host says is target n's. A flow that was
 // under recovery here ends it: the other host is at least as far.
-func (c *Core) takeExact(x *context, n uint32, via int) *flow {
+func (c *Core) takeExact(x *context, n uint32, via netip.Addr) *flow {
 	p := lent
 	if x.p.Seg.Opens() || x.p.Proto == hsflow.UDP {
 		p = opening
@@ -283,7 +285,7 @@
 	if f == nil {
 		return nil
 	}
-	f.via = int16(via)
+	f.via = c.hostNumber(via)
 	if w != nil {
 		c.finish(w)
 		for i := range w.held {
@@ -295,6 +297,6 @@
 }
 
 // correct tells a host whose exception is out of date where the flow is.
-func (c *Core) correct(x *context, f *flow, via int) {
+func (c *Core) correct(x *context, f *flow, via netip.Addr) {
 	c.control(via, hspacket.Steer{Kind: hspacket.KindClaim, Target: uint64(c.targets[f.target].id), Flow: x.key})
 }
--- a/internal/hshome/core.go
+++ b/internal/hshome/core.go
@@ -102,6 +102,9 @@
 		// Targets that flows refer to by index; never shrinks while they do.
 		targets []target
 		byID    map[hsmanifest.TargetID]uint32
+		// Addresses of entry hosts that flows refer to by index; never shrinks.
+		hosts  []netip.Addr
+		byHost map[netip.Addr]uint16
 		// Index into targets for each target of the view.
 		ofView []uint32
 		// True while the process may be acting on an old view.
@@ -183,6 +186,7 @@
 		flows:   hsflow.NewTable[flow](),
 		waits:   map[hsflow.Key]*wait{},
 		byID:    map[hsmanifest.TargetID]uint32{},
+		byHost:  map[netip.Addr]uint16{},
 		batches: map[netip.Addr][]Entry{},
 		Counts:  map[hscode.Code]uint64{},
 	}
--- a/internal/hshome/flow.go
+++ b/internal/hshome/flow.go
@@ -15,9 +15,9 @@
 		target uint32
 		phase  phase
 		marks  marks
-		// Host that lent the flow for a trial, as index into View.Hosts; valid
+		// Host that lent the flow for a trial, as index into Core.hosts; valid
 		// in phase lent.
-		via int16
+		via uint16
 		// Initial sequence number of the target; valid with markReply.
 		isn uint32
 		// Next sequence number expected of the caller; valid with markCaller.
--- a/internal/hshome/ingress.go
+++ b/internal/hshome/ingress.go
@@ -17,8 +17,7 @@
 		c.fromFabric(p, from)
 		return
 	}
-	host, ok := c.view.HostAt(from)
-	if !ok {
+	if _, listed := c.view.HostAt(from); !listed {
 		c.count(hscode.PeerUnknown)
 		return
 	}
@@ -26,15 +25,15 @@
 	case hspacket.KindForward:
 		c.forwarded(p)
 	case hspacket.KindExact:
-		c.exact(p, host)
+		c.exact(p, from)
 	case hspacket.KindReply:
 		c.relayedReply(p)
 	case hspacket.KindAsk:
-		c.asked(p, host)
+		c.asked(p, from)
 	case hspacket.KindClaim:
-		c.claimed(p, host)
+		c.claimed(p)
 	case hspacket.KindDeny:
-		c.denied(p, host)
+		c.denied(p, from)
 	}
 }
 
--- a/internal/hshome/recover.go
+++ b/internal/hshome/recover.go
@@ -1,6 +1,7 @@
 package hshome
 
 import (
+	"net/netip"
 	"slices"
 
 	"heatherstack.org/heatherstack/internal/hscode"
@@ -20,8 +21,8 @@
 	cands []uint32
 	// Bit i: candidate i may hold the flow without any home knowing.
 	unsure uint16
-	// Hosts that were asked and have not answered, as indices into View.Hosts.
-	pending []int
+	// Hosts that were asked and have not answered.
+	pending []netip.Addr
 	// Time in ms at which the current step is given up.
 	deadline uint32
 	// True once the asks were sent again.
@@ -61,20 +62,48 @@
 		c.drop(f, &x.key, x.hash)
 		return
 	}
-	w := &wait{key: x.key, deadline: c.now + askTimeout}
+	w := &wait{key: x.key}
 	previous := f.target
 	c.setPhase(f, asking)
 	f.seen = c.now
 	c.waits[x.key] = w
 	c.waitList = append(c.waitList, w)
-	c.candidates(w, s, x, previous)
 	c.hold(x)
+	c.begin(w, s, x, previous)
+}
+
+// begin asks for the flow under the present view.
+func (c *Core) begin(w *wait, s *hsrank.Service, x *context, previous uint32) {
+	w.deadline = c.now + askTimeout
+	w.resent = false
+	c.candidates(w, s, x, previous)
 	c.ask(w, x)
 	if len(w.pending) == 0 {
 		c.decide(w)
 	}
 }
 
+// restartWaits begins all recoveries anew after a change of view, since
+// targets, homes and hosts may be others now.
+func (c *Core) restartWaits() {
+	for _, w := range c.waitList {
+		if w.done || len(w.held) == 0 {
+			continue
+		}
+		f := c.flows.Get(&w.key, w.key.Hash())
+		s := c.view.Service(w.key.Proto(), w.key.Service())
+		if f == nil || s == nil {
+			c.giveUp(w, hscode.FlowNoService)
+			continue
+		}
+		c.setPhase(f, asking)
+		w.cands, w.pending = w.cands[:0], w.pending[:0]
+		w.unsure, w.denied, w.rounds = 0, 0, 0
+		x := context{p: &w.held[0], key: w.key, hash: w.key.Hash()}
+		c.begin(w, s, &x, f.target)
+	}
+}
+
 // candidates notes which targets may hold the flow. The one that was wrongly
 // or silently in use stands last.
 func (c *Core) candidates(w *wait, s *hsrank.Service, x *context, previous uint32) {
@@ -98,23 +127,27 @@
 	for _, n := range w.cands {
 		t := &c.view.Targets[c.targets[n].at]
 		for _, h := range []int{t.Home, t.Before} {
-			if h < 0 || h == c.self() || !c.view.Hosts[h].Alive || slices.Contains(w.pending, h) {
+			if h < 0 || h == c.self() || !c.view.Hosts[h].Alive {
+				continue
+			}
+			addr := c.view.Hosts[h].Address
+			if slices.Contains(w.pending, addr) {
 				continue
 			}
-			w.pending = append(w.pending, h)
-			c.sendAsk(h, w, x.p.Seg)
+			w.pending = append(w.pending, addr)
+			c.sendAsk(addr, w, x.p.Seg)
 		}
 	}
 }
 
-func (c *Core) sendAsk(host int, w *wait, seg hspacket.Segment) {
+func (c *Core) sendAsk(host netip.Addr, w *wait, seg hspacket.Segment) {
 	c.Stats.Asks++
 	c.control(host, hspacket.Steer{Kind: hspacket.KindAsk, Flow: w.key, Seq: seg.Seq, Ack: seg.Ack})
 }
 
-func (c *Core) control(host int, s hspacket.Steer) {
+func (c *Core) control(host netip.Addr, s hspacket.Steer) {
 	s.Boot = c.cfg.Boot
-	c.emit(Output{Kind: Control, Addr: c.view.Hosts[host].Address, Steer: s})
+	c.emit(Output{Kind: Control, Addr: host, Steer: s})
 }
 
 // hold keeps a packet of a flow under recovery.
@@ -139,7 +172,7 @@
 }
 
 // asked answers another home's ask.
-func (c *Core) asked(p *hspacket.Packet, via int) {
+func (c *Core) asked(p *hspacket.Packet, via netip.Addr) {
 	key := p.Steer.Flow
 	f := c.flows.Get(&key, key.Hash())
 	s := c.view.Service(key.Proto(), key.Service())
@@ -184,7 +217,7 @@
 }
 
 // claimed takes the answer that a flow belongs to a target.
-func (c *Core) claimed(p *hspacket.Packet, _ int) {
+func (c *Core) claimed(p *hspacket.Packet) {
 	key := p.Steer.Flow
 	s := c.view.Service(key.Proto(), key.Service())
 	at, ok := c.view.TargetByID(hsmanifest.TargetID(p.Steer.Target))
@@ -205,7 +238,7 @@
 
 // denied takes the answer that a host does not know a flow, or that a target
 // that it is home of denied a trial.
-func (c *Core) denied(p *hspacket.Packet, via int) {
+func (c *Core) denied(p *hspacket.Packet, via netip.Addr) {
 	hash := p.Steer.Flow.Hash()
 	w := c.waits[p.Steer.Flow]
 	f := c.flows.Get(&p.Steer.Flow, hash)
@@ -240,7 +273,11 @@
 }
 
 // exclude notes that host would know a flow of the targets it is or was home of.
-func (c *Core) exclude(w *wait, host int) {
+func (c *Core) exclude(w *wait, addr netip.Addr) {
+	host, ok := c.view.HostAt(addr)
+	if !ok {
+		return
+	}
 	for i, n := range w.cands {
 		at := c.targets[n].at
 		if at < 0 {
@@ -309,8 +346,9 @@
 }
 
 // decideUDP places a datagram's flow without trial. If no candidate can hold
-// it, it is new; if one can, it is placed there; if several can, only an
-// idempotent service takes the risk.
+// it, it is new; if one live target can, it is placed there. If several can, or
+// one that is leaving and must get no new work, only an idempotent service
+// takes the risk.
 func (c *Core) decideUDP(w *wait, s *hsrank.Service, f *flow) {
 	var possible []uint32
 	for i, n := range w.cands {
@@ -318,10 +356,11 @@
 			possible = append(possible, n)
 		}
 	}
+	live := len(possible) > 0 && c.view.Targets[c.targets[possible[0]].at].Live
 	switch {
-	case len(possible) == 0:
+	case len(possible) == 0 || (s.Idempotent && !live):
 		c.openHeld(w, s, f)
-	case len(possible) == 1 || s.Idempotent:
+	case live && (len(possible) == 1 || s.Idempotent):
 		c.settle(w, f, possible[0], true)
 	default:
 		c.giveUp(w, hscode.FlowAmbiguous)
@@ -404,7 +443,8 @@
 	if f := c.flows.Get(&w.key, hash); f != nil {
 		c.drop(f, &w.key, hash)
 	}
-	if len(w.held) == 0 {
+	if len(w.held) == 0 || c.paused {
+		// A view that may be old is no ground to tell the caller anything.
 		c.count(code)
 		return
 	}
@@ -447,7 +487,7 @@
 
 // replyOnLoan takes a target's packet of a flow that another host tries here.
 func (c *Core) replyOnLoan(p *hspacket.Packet, key hsflow.Key, f *flow, n uint32) {
-	via := int(f.via)
+	via := c.hosts[f.via]
 	if f.target != n {
 		c.count(hscode.FlowLate)
 		return
@@ -466,8 +506,9 @@
 	c.reply()
 }
 
-func (c *Core) answer(via int, s hspacket.Steer) {
-	if via >= 0 && via < len(c.view.Hosts) {
+// answer tells the host that tries a flow here how the target answered.
+func (c *Core) answer(via netip.Addr, s hspacket.Steer) {
+	if _, listed := c.view.HostAt(via); listed {
 		c.control(via, s)
 	}
 }
@@ -513,9 +554,7 @@
 	}
 	w.resent = true
 	for _, h := range w.pending {
-		if h < len(c.view.Hosts) {
-			c.sendAsk(h, w, w.held[0].Seg)
-		}
+		c.sendAsk(h, w, w.held[0].Seg)
 	}
 }
 
--- a/internal/hshome/target.go
+++ b/internal/hshome/target.go
@@ -1,6 +1,8 @@
 package hshome
 
 import (
+	"net/netip"
+
 	"heatherstack.org/heatherstack/internal/hsflow"
 	"heatherstack.org/heatherstack/internal/hsmanifest"
 	"heatherstack.org/heatherstack/internal/hsrank"
@@ -48,6 +50,18 @@
 	}
 	c.handing = true
 	c.handoverAt = 0
+	c.restartWaits()
+}
+
+// hostNumber returns the number by which flows refer to a host.
+func (c *Core) hostNumber(a netip.Addr) uint16 {
+	n, ok := c.byHost[a]
+	if !ok {
+		n = uint16(len(c.hosts))
+		c.hosts = append(c.hosts, a)
+		c.byHost[a] = n
+	}
+	return n
 }
 
 func (c *Core) bindTarget(at int, old *hsrank.View, first bool) {
--- a/internal/hslab/demo.go
+++ b/internal/hslab/demo.go
@@ -28,6 +28,8 @@
 		estate  *Estate
 		verdict Verdict
 		start   time.Time
+		// Planned stops under way.
+		stopping []<-chan struct{}
 		// Time at which leaving targets' manifest was in force everywhere.
 		leftAt time.Time
 	}
@@ -45,7 +47,7 @@
 	settleTime  = 2 * time.Second
 	fabricLag   = 500 * time.Millisecond
 	finishLimit = 10 * time.Second
-	progress    = 500 * time.Millisecond
+	progress    = time.Second
 )
 
 // Demo runs the move and returns the verdict.
@@ -61,7 +63,7 @@
 		return Verdict{}, errors.Trace(err)
 	}
 	d.w = w
-	err = d.run(ctx)
+	err = d.run(w.ctx)
 	if closeErr := w.Close(); err == nil {
 		err = closeErr
 	}
@@ -75,6 +77,7 @@
 		{0.30, "half of A's targets leave", func(ctx context.Context) error { return d.leaveTargets(ctx, 2) }},
 		{0.42, "all of A's targets leave", func(ctx context.Context) error { return d.leaveTargets(ctx, 1) }},
 		{0.50, "A's entry hosts leave", d.leaveHosts},
+		{0.70, "A's entry hosts are gone", d.dropHosts},
 		{0.75, "callers end their sessions", d.recycle},
 		{0.90, "A's targets are gone", d.remove},
 	}
@@ -164,8 +167,8 @@
 	return nil
 }
 
-// leaveHosts stops A's entry hosts one after another. The fabric notices each
-// only after a while.
+// leaveHosts stops A's entry hosts, each while the one before is still in its
+// planned stop. The fabric notices each only after a while.
 func (d *demo) leaveHosts(ctx context.Context) error {
 	for i := range demoHosts {
 		d.estate.Hosts[i].Leaving = true
@@ -174,11 +177,18 @@
 		return err
 	}
 	for i := range demoHosts {
-		done := d.w.LeaveEntry(d.estate.Hosts[i].Name)
+		d.stopping = append(d.stopping, d.w.LeaveEntry(d.estate.Hosts[i].Name))
 		if err := pause(ctx, fabricLag); err != nil {
 			return err
 		}
 		d.spray()
+	}
+	return nil
+}
+
+// dropHosts removes A's entry hosts from the manifest once all have stopped.
+func (d *demo) dropHosts(ctx context.Context) error {
+	for _, done := range d.stopping {
 		select {
 		case <-done:
 		case <-ctx.Done():
@@ -194,9 +204,31 @@
 	return nil
 }
 
+// awaitDrained waits until no connection is left on the targets, or for
+// finishLimit.
+func (d *demo) awaitDrained(ctx context.Context, targets []Machine) error {
+	end := time.Now().Add(finishLimit)
+	for time.Now().Before(end) {
+		left := 0
+		for _, t := range targets {
+			left += d.w.Connections(t.Name)
+		}
+		if left == 0 {
+			return nil
+		}
+		if err := pause(ctx, labTick); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // remove drops A's targets from the manifest, once no connection is left.
 func (d *demo) remove(ctx context.Context) error {
 	n := len(d.estate.Targets) / 2
+	if err := d.awaitDrained(ctx, d.estate.Targets[:n]); err != nil {
+		return err
+	}
 	for _, t := range d.estate.Targets[:n] {
 		late := d.w.LastAccept(t.Name).Sub(d.leftAt)
 		if late > settleTime {
--- a/internal/hslab/report.go
+++ b/internal/hslab/report.go
@@ -141,7 +141,7 @@
 	for _, b := range v.Balance {
 		_, _ = fmt.Fprintf(r.W, "imbalance of %s: %.2f with %d connections\n", b.Pool, b.Ratio, b.Open)
 	}
-	for _, n := range v.Total.Notes {
+	for _, n := range v.Total.Notes[:min(len(v.Total.Notes), maxNotes)] {
 		_, _ = fmt.Fprintln(r.W, "broken:", n)
 	}
 	if v.Kept() {
--- a/internal/hslab/server.go
+++ b/internal/hslab/server.go
@@ -128,7 +128,7 @@
 
 // Tick lets time pass.
 func (s *Server) Tick(now time.Time) {
-	s.finishJobs(now)
+	s.Work(now)
 	kept := s.list[:0]
 	for _, c := range s.list {
 		c.conn.Tick(now)
@@ -257,7 +257,19 @@
 	s.jobs = append(s.jobs, j)
 }
 
-func (s *Server) finishJobs(now time.Time) {
+// Next returns the time at which the next request is finished, if that is
+// before limit.
+func (s *Server) Next(limit time.Time) time.Time {
+	for i := range s.jobs {
+		if s.jobs[i].done.Before(limit) {
+			limit = s.jobs[i].done
+		}
+	}
+	return limit
+}
+
+// Work answers the requests that are finished and starts those that wait.
+func (s *Server) Work(now time.Time) {
 	var busy []job
 	for _, j := range s.jobs {
 		if now.Before(j.done) {
--- a/internal/hslab/world.go
+++ b/internal/hslab/world.go
@@ -240,14 +240,14 @@
 	return out
 }
 
-// AwaitVersion waits until all running entry hosts have the version in force,
-// and returns how long that took.
+// AwaitVersion waits until all running entry hosts have the version in force
+// and place new flows, and returns how long that took.
 func (w *World) AwaitVersion(ctx context.Context, version uint64) (time.Duration, error) {
 	start := time.Now()
 	for {
 		all := true
 		for _, st := range w.Entries(ctx) {
-			all = all && st.Version >= version
+			all = all && st.Version >= version && !st.Paused
 		}
 		if all {
 			return time.Since(start), nil
@@ -345,12 +345,13 @@
 	var p hspacket.Packet
 	ticked := time.Now()
 	for t.w.ctx.Err() == nil {
-		_ = t.conn.SetReadDeadline(ticked.Add(labTick))
+		_ = t.conn.SetReadDeadline(t.server.Next(ticked.Add(labTick)))
 		n, _, err := t.conn.ReadFromUDPAddrPort(buf)
 		now := time.Now()
 		if err == nil && dec.Decode(buf[:n], &p) == 0 {
 			t.server.Input(now, &p)
 		}
+		t.server.Work(now)
 		if now.Sub(ticked) >= labTick {
 			ticked = now
 			t.server.Tick(now)
--- a/internal/hsmanifest/history.go
+++ b/internal/hsmanifest/history.go
@@ -1,6 +1,11 @@
 package hsmanifest
 
-import "slices"
+import (
+	"encoding/binary"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 type (
 	// Member is a target that takes new flows, with its share.
@@ -41,6 +46,32 @@
 	return next
 }
 
+// Digest returns a hash by which hosts compare their histories.
+func (h History) Digest() uint64 {
+	d := xxhash.New()
+	var word [8]byte
+	put := func(n uint64) {
+		binary.BigEndian.PutUint64(word[:], n)
+		_, _ = d.Write(word[:])
+	}
+	names := make([]string, 0, len(h))
+	for name := range h {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		_, _ = d.WriteString(name)
+		for _, g := range h[name] {
+			put(g.Version)
+			for _, m := range g.Members {
+				put(uint64(m.ID))
+				put(uint64(m.Weight))
+			}
+		}
+	}
+	return d.Sum64()
+}
+
 // Merge returns the history that holds the generations of h and other, as a
 // host needs that starts in the middle of a change.
 func (h History) Merge(other History) History {
@@ -59,10 +90,8 @@
 	for _, g := range old {
 		gens = appendChanged(gens, g.Version, filter(g.Members, known))
 	}
-	// A host without history still knows that leaving targets took flows once.
-	all := members(m, s, func(*Target) bool { return true })
 	if len(old) == 0 {
-		gens = appendChanged(gens, 0, all)
+		gens = appendGuess(gens, m, s)
 	}
 	if len(gens) > maxGenerations {
 		gens = gens[:maxGenerations]
@@ -70,6 +99,25 @@
 	return gens
 }
 
+// appendGuess appends what a host without history knows about earlier
+// generations: leaving targets took flows once. It has version 0.
+func appendGuess(gens []Generation, m *Manifest, s *Service) []Generation {
+	all := members(m, s, func(*Target) bool { return true })
+	if len(all) == 0 || (len(gens) > 0 && slices.Equal(gens[0].Members, all)) {
+		return gens
+	}
+	return append(gens, Generation{Members: all})
+}
+
+// dropGuess removes a guessed generation if real ones tell more.
+func dropGuess(gens []Generation) []Generation {
+	last := len(gens) - 1
+	if last >= 2 && gens[last].Version == 0 {
+		return gens[:last]
+	}
+	return gens
+}
+
 // appendChanged appends a generation unless it has no members or those of the
 // one before it. If it has the same members, the older version is kept, since
 // the set took flows from then on.
@@ -100,6 +148,7 @@
 	for _, g := range all {
 		gens = appendChanged(gens, g.Version, g.Members)
 	}
+	gens = dropGuess(gens)
 	if len(gens) > maxGenerations {
 		gens = gens[:maxGenerations]
 	}
--- a/internal/hsmanifest/keeper.go
+++ b/internal/hsmanifest/keeper.go
@@ -50,10 +50,7 @@
 		return false
 	}
 	merged := k.history.Merge(h)
-	changed := false
-	for name, gens := range merged {
-		changed = changed || len(gens) != len(k.history[name])
-	}
+	changed := merged.Digest() != k.history.Digest()
 	k.history = merged
 	return changed
 }
--- a/internal/hsroster/message.go
+++ b/internal/hsroster/message.go
@@ -43,13 +43,18 @@
 	m.heard = now
 	m.version = hb.GetVersion()
 	m.digest = hb.GetDigest()
-	if hb.GetLeaving() {
+	switch {
+	case hb.GetGone():
+		r.set(now, m, Dead)
+	case hb.GetLeaving():
 		r.set(now, m, Leaving)
-	} else {
+	default:
 		r.set(now, m, Alive)
 	}
 	if m.version > r.version || (m.version == r.version && m.digest > r.digest) {
 		r.out.Newer = m.name
+	} else if m.version == r.version && hb.GetHistory() != r.history {
+		r.out.Differs = m.name
 	}
 }
 
@@ -142,7 +147,9 @@
 		About:   about,
 		Version: r.version,
 		Digest:  r.digest,
+		History: r.history,
 		Leaving: r.leaving,
+		Gone:    r.gone,
 		Rumors:  r.pickRumors(),
 		Loads:   r.loads,
 	}
--- a/internal/hsroster/roster.go
+++ b/internal/hsroster/roster.go
@@ -48,6 +48,8 @@
 		Changed bool
 		// Member that has a newer manifest in force, or empty.
 		Newer string
+		// Member that has the same manifest and another history, or empty.
+		Differs string
 	}
 
 	// Roster is the membership core of one entry host. It is not safe for
@@ -67,9 +69,11 @@
 		relays  map[uint64]relay
 		probeAt time.Time
 		leaving bool
+		gone    bool
 		refute  uint32
 		version uint64
 		digest  uint64
+		history uint64
 		loads   []*hsschema.Load
 		out     Output
 	}
@@ -157,14 +161,20 @@
 
 // SetForce notes the manifest in force here, which heartbeats carry, and tells
 // all members at once, so that a change spreads faster than the probes.
-func (r *Roster) SetForce(now time.Time, version, digest uint64) Output {
+func (r *Roster) SetForce(now time.Time, version, digest, history uint64) Output {
 	r.begin()
 	r.version = version
 	r.digest = digest
+	r.history = history
 	r.tellAll(now)
 	return r.out
 }
 
+// SetHistory notes the placement history held here, which heartbeats carry.
+func (r *Roster) SetHistory(history uint64) {
+	r.history = history
+}
+
 // SetLoads notes the loads of the targets homed here, which heartbeats carry.
 func (r *Roster) SetLoads(loads []*hsschema.Load) {
 	r.loads = loads
@@ -178,6 +188,12 @@
 	return r.out
 }
 
+// Gone tells all members that this process ends now.
+func (r *Roster) Gone(now time.Time) Output {
+	r.gone = true
+	return r.Leave(now)
+}
+
 // Wake forgives the silence that this process's own pause caused.
 func (r *Roster) Wake(now time.Time) Output {
 	r.begin()
