Balance on open connections, with loads carried by forwarded packets

Loads of other homes were up to 1.5 s old, and each UDP flow counted as open until it had been idle for a minute, so thousands of finished lookups hid the connections.

Change: each packet forwarded between entry hosts carries the load of one target homed at its sender; a UDP flow counts until its first answer.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,51 @@
+# Developer commands. Each is also what CI runs or what a page names.
+
+MODULES  = . ./cmd/hsctl ./cmd/hsentry ./cmd/hslab
+PACKAGES = ./... ./cmd/hsctl/... ./cmd/hsentry/... ./cmd/hslab/...
+LINT     = go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
+GEN_GO   = google.golang.org/protobuf/cmd/protoc-gen-go@v1.36.12
+GEN_RPC  = connectrpc.com/connect/cmd/protoc-gen-connect-go@v1.21.1
+MODULE   = heatherstack.org/heatherstack
+
+.PHONY: help test build vet format lint fmt golden generate demo bench faults fuzz
+
+help: ## list the commands
+	@grep -E '^[a-z]+:.*##' Makefile | sed 's/:.*##/\t/'
+
+test: ## run all tests with the race detector
+	go test -race $(PACKAGES)
+
+build: ## build the three programs into bin/
+	mkdir -p bin
+	go build -o bin/ ./cmd/hsctl ./cmd/hsentry ./cmd/hslab
+
+vet: ## run go vet
+	go vet $(PACKAGES)
+
+format: ## fail if a file is not formatted
+	$(LINT) fmt --diff ./...
+
+fmt: ## format all files
+	$(LINT) fmt ./...
+
+lint: ## run the linters
+	for m in $(MODULES); do (cd $$m && $(LINT) run ./...) || exit 1; done
+
+golden: ## write the golden files anew
+	go test ./internal/... -update
+
+generate: ## write the generated code anew; needs protoc
+	mkdir -p bin
+	GOBIN=$(CURDIR)/bin go install $(GEN_GO)
+	GOBIN=$(CURDIR)/bin go install $(GEN_RPC)
+	PATH=$(CURDIR)/bin:$$PATH protoc -I schema --go_out=. --go_opt=module=$(MODULE) \
+		--connect-go_out=. --connect-go_opt=module=$(MODULE) schema/*.proto
+
+demo: ## move two users' services between buildings
+	go run ./cmd/hslab demo
+
+bench: ## run the benchmarks of codec and decisions
+	go test -run '^$$' -bench . -benchmem ./internal/hspacket ./internal/hshome ./internal/hsrank ./internal/hsflow
+
+fuzz: ## fuzz the codec for a minute
+	go test -run '^$$' -fuzz FuzzDecode -fuzztime 60s ./internal/hspacket
--- a/internal/hshome/caller.go
+++ b/internal/hshome/caller.go
@@ -217,7 +217,7 @@
 		c.release(f)
 	}
 	f = c.flows.Put(&x.key, x.hash)
-	*f = flow{seen: c.now}
+	*f = newFlow(c.now, x.p.Proto)
 	c.bind(f, n, p)
 	return f
 }
@@ -252,7 +252,7 @@
 	n := c.ofView[at]
 	x := newContext(p)
 	f := c.flows.Get(&x.key, x.hash)
-	if f != nil && f.known() && !(p.Seg.Opens() && f.reusable()) {
+	if f != nil && f.known() && (!p.Seg.Opens() || !f.reusable()) {
 		if f.target != n {
 			c.correct(&x, f, via)
 		}
--- a/internal/hshome/core.go
+++ b/internal/hshome/core.go
@@ -107,6 +107,10 @@
 		byHost map[netip.Addr]uint16
 		// Index into targets for each target of the view.
 		ofView []uint32
+		// Targets homed here, as indices into targets, and the one whose load
+		// was sent last.
+		mine     []uint32
+		sampleAt int
 		// True while the process may be acting on an old view.
 		paused bool
 		// Milliseconds since cfg.Start of the input under way.
--- a/internal/hshome/flow.go
+++ b/internal/hshome/flow.go
@@ -67,6 +67,8 @@
 	finTarget
 	// handed: the new home has been sent the flow.
 	handed
+	// datagrams: the flow is UDP.
+	datagrams
 )
 
 const (
@@ -78,6 +80,24 @@
 	maxAhead = 1 << 22
 )
 
+// newFlow returns a flow without a target.
+func newFlow(now uint32, p hsflow.Proto) flow {
+	f := flow{seen: now}
+	if p == hsflow.UDP {
+		f.marks = datagrams
+	}
+	return f
+}
+
+// counted reports whether the flow counts as open on its target. Nothing ends
+// a UDP flow, so it counts until its first answer.
+func (f *flow) counted() bool {
+	if f.marks&datagrams != 0 {
+		return f.phase == opening
+	}
+	return f.phase == opening || f.phase == open || f.phase == lent
+}
+
 // known reports whether the flow's target is settled.
 func (f *flow) known() bool {
 	return f.phase == opening || f.phase == open || f.phase == closed
--- a/internal/hshome/ingress.go
+++ b/internal/hshome/ingress.go
@@ -21,6 +21,7 @@
 		c.count(hscode.PeerUnknown)
 		return
 	}
+	c.takeSample(&p.Steer)
 	switch p.Steer.Kind {
 	case hspacket.KindForward:
 		c.forwarded(p)
@@ -140,6 +141,7 @@
 
 func (c *Core) forward(host int, steer hspacket.Steer, data []byte) {
 	c.Stats.Forwarded++
+	c.putSample(&steer)
 	c.emit(Output{Kind: ToHost, Addr: c.view.Hosts[host].Address, Steer: steer, Data: data})
 }
 
--- a/internal/hshome/reply.go
+++ b/internal/hshome/reply.go
@@ -41,7 +41,7 @@
 	}
 	if c.flows.Len() < c.cfg.MaxFlows {
 		f := c.flows.Put(&key, hash)
-		*f = flow{seen: c.now}
+		*f = newFlow(c.now, p.Proto)
 		c.bind(f, n, open)
 		c.Stats.Recovered++
 		f.learn(c.now, p.Seg)
@@ -69,6 +69,9 @@
 		// After a SYN-ACK, the caller's ACK decides; see doubtful.
 		c.setPhase(f, open)
 	}
+	if p.Proto == hsflow.UDP {
+		c.setPhase(f, open)
+	}
 	f.noteReply(c.now, p.Seg)
 	if p.Seg.Flags.Has(hspacket.RST) || f.ended() {
 		c.setPhase(f, closed)
--- a/internal/hshome/sweep.go
+++ b/internal/hshome/sweep.go
@@ -142,6 +142,8 @@
 	}
 	f = c.flows.Put(&e.Flow, hash)
 	c.release(f)
-	*f = flow{seen: c.now, isn: e.ISN, caller: e.Caller, reply: e.Reply, marks: markCaller | markReply}
+	*f = newFlow(c.now, e.Flow.Proto())
+	f.isn, f.caller, f.reply = e.ISN, e.Caller, e.Reply
+	f.marks |= markCaller | markReply
 	c.bind(f, n, open)
 }
--- a/internal/hshome/target.go
+++ b/internal/hshome/target.go
@@ -5,6 +5,7 @@
 
 	"heatherstack.org/heatherstack/internal/hsflow"
 	"heatherstack.org/heatherstack/internal/hsmanifest"
+	"heatherstack.org/heatherstack/internal/hspacket"
 	"heatherstack.org/heatherstack/internal/hsrank"
 )
 
@@ -45,8 +46,12 @@
 		c.targets[i].at = -1
 	}
 	c.ofView = make([]uint32, len(v.Targets))
+	c.mine = c.mine[:0]
 	for i := range v.Targets {
 		c.bindTarget(i, old, first)
+		if v.Targets[i].Home == v.Self {
+			c.mine = append(c.mine, c.ofView[i])
+		}
 	}
 	c.handing = true
 	c.handoverAt = 0
@@ -118,6 +123,26 @@
 	}
 }
 
+// putSample puts the load of one target homed here into a steering word, each
+// target in turn. Packets that go to other hosts anyway thus carry loads that
+// are as fresh as the traffic is dense, at the cost of twelve bytes.
+func (c *Core) putSample(s *hspacket.Steer) {
+	if len(c.mine) == 0 {
+		return
+	}
+	c.sampleAt++
+	t := &c.targets[c.mine[c.sampleAt%len(c.mine)]]
+	s.LoadTarget = uint64(t.id)
+	s.LoadFlows = uint32(t.flows)
+}
+
+// takeSample notes the load that a steering word carries.
+func (c *Core) takeSample(s *hspacket.Steer) {
+	if n, ok := c.byID[hsmanifest.TargetID(s.LoadTarget)]; ok {
+		c.targets[n].reported = int(s.LoadFlows)
+	}
+}
+
 // Loads appends the loads of the targets homed here to dst.
 func (c *Core) Loads(dst []Load) []Load {
 	for i := range c.view.Targets {
@@ -143,7 +168,7 @@
 	c.release(f)
 	f.target = n
 	f.phase = p
-	if counted(p) {
+	if f.counted() {
 		c.targets[n].flows++
 	}
 }
@@ -155,12 +180,8 @@
 
 // release takes the flow out of its target's count.
 func (c *Core) release(f *flow) {
-	if counted(f.phase) {
+	if f.counted() {
 		c.targets[f.target].flows--
 	}
 	f.phase = 0
 }
-
-func counted(p phase) bool {
-	return p == opening || p == open || p == lent
-}
--- a/internal/hspacket/steer.go
+++ b/internal/hspacket/steer.go
@@ -24,6 +24,9 @@
 		Boot uint32
 		// Identity of the target that the message is about.
 		Target uint64
+		// A target homed at the sender and its open flows; zero if none.
+		LoadTarget uint64
+		LoadFlows  uint32
 		// Flow that an ask, claim or deny is about.
 		Flow hsflow.Key
 		// For KindAsk: numbers of the caller's segment.
@@ -52,7 +55,9 @@
 const (
 	steerClass    = 0xFF48
 	steerType     = 0x81
-	steerData     = 16
+	steerData     = 28
+	loadAt        = 16
+	loadFlowsAt   = 24
 	controlData   = steerData + hsflow.KeySize + 8
 	flowAt        = steerData
 	seqAt         = flowAt + hsflow.KeySize
@@ -129,6 +134,8 @@
 	d[3] = 0
 	binary.BigEndian.PutUint32(d[4:], s.Boot)
 	binary.BigEndian.PutUint64(d[8:], s.Target)
+	binary.BigEndian.PutUint64(d[loadAt:], s.LoadTarget)
+	binary.BigEndian.PutUint32(d[loadFlowsAt:], s.LoadFlows)
 }
 
 func parseSteer(d []byte, s *Steer) bool {
@@ -140,6 +147,8 @@
 	s.Sure = d[2]
 	s.Boot = binary.BigEndian.Uint32(d[4:])
 	s.Target = binary.BigEndian.Uint64(d[8:])
+	s.LoadTarget = binary.BigEndian.Uint64(d[loadAt:])
+	s.LoadFlows = binary.BigEndian.Uint32(d[loadFlowsAt:])
 	if s.Kind == KindNone || s.Kind > KindDeny {
 		return false
 	}
--- a/internal/hspacket/write.go
+++ b/internal/hspacket/write.go
@@ -81,8 +81,9 @@
 	if err := icmp.SetNetworkLayerForChecksum(network); err != nil {
 		return nil, errors.Trace(err)
 	}
-	unused := make([]byte, 4, 4+quoteMax)
-	quote := append(unused, p.Inner[:min(len(p.Inner), quoteMax)]...)
+	const unused = 4
+	quote := make([]byte, unused, unused+quoteMax)
+	quote = append(quote, p.Inner[:min(len(p.Inner), quoteMax)]...)
 	return serialize(ip, icmp, gopacket.Payload(quote))
 }
 
--- a/internal/hsroster/roster.go
+++ b/internal/hsroster/roster.go
@@ -239,7 +239,7 @@
 	if now.Sub(r.probeAt) >= r.cfg.Probe {
 		r.probeAt = now
 		r.probeNext(now)
-		r.probeDead(now)
+		r.probeDead()
 	}
 	for seq, rl := range r.relays {
 		if now.Sub(rl.at) > r.cfg.Suspect {
@@ -281,7 +281,7 @@
 
 // probeDead probes one dead member, so that a healed partition or a member
 // that returned is noticed from both sides.
-func (r *Roster) probeDead(now time.Time) {
+func (r *Roster) probeDead() {
 	var dead []string
 	for _, name := range r.order {
 		if m := r.members[name]; m != nil && m.state == Dead {
--- a/internal/hssettings/settings.go
+++ b/internal/hssettings/settings.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/juju/errors"
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/reflect/protoreflect"
 
@@ -154,7 +155,8 @@
 		return
 	}
 	if _, err := hskey.NewRing(s.Key, s.OldKey); err != nil {
-		if coded, ok := err.(*hscode.Error); ok {
+		var coded *hscode.Error
+		if errors.As(err, &coded) {
 			c.faults = append(c.faults, coded)
 		}
 	}
