Prove the promises by a matrix of faults and steps

Cause: nothing held the decisions against crashes, cuts, pauses and changes under a test clock.

Change: internal/hsmatrix joins the real control and data path cores of six hosts with stand-in targets and callers by an in-memory queue; 27 faults at 8 steps of a connection's life, verdicts in a golden table.

--- a/internal/hslab/callers.go
+++ b/internal/hslab/callers.go
@@ -124,7 +124,7 @@
 			continue
 		}
 		inner := append([]byte(nil), buf[header:n]...)
-		g := w.groups[callerNumber(innerDst(inner))%groupCount]
+		g := w.groups[callerNumber(InnerDst(inner))%groupCount]
 		select {
 		case g.packets <- inner:
 		default:
@@ -132,7 +132,8 @@
 	}
 }
 
-func innerDst(inner []byte) netip.Addr {
+// InnerDst returns the destination of a bare IP packet.
+func InnerDst(inner []byte) netip.Addr {
 	b := inner[ip4Dst : ip4Dst+4]
 	if inner[0]>>4 == 6 {
 		b = inner[ip6Dst : ip6Dst+16]
@@ -163,7 +164,7 @@
 }
 
 func (g *callerGroup) packet(now time.Time, dec *hspacket.Decoder, inner []byte) {
-	c := g.clients[innerDst(inner)]
+	c := g.clients[InnerDst(inner)]
 	if c == nil {
 		return
 	}
--- a/internal/hslab/client.go
+++ b/internal/hslab/client.go
@@ -39,6 +39,8 @@
 		Lost     int
 		Cut      int
 		Crossed  int
+		// Refused requests that ran all the same.
+		RefusedRun int
 		// Connections that the caller could not open for want of any answer.
 		Unopened int
 		// Time from request to whole answer, in microseconds.
@@ -58,6 +60,8 @@
 		Tally   *Tally
 		// Returns request numbers that are unique in the experiment.
 		NextID func() uint64
+		// Reports whether a request ran; may be nil.
+		Ran func(id uint64) bool
 	}
 
 	// Client is a stand-in caller. It opens connections, sends requests and
@@ -158,10 +162,21 @@
 		return
 	}
 	c.cfg.Tally.Refused++
+	if c.cfg.Ran != nil && c.cfg.Ran(c.pending.id) {
+		c.cfg.Tally.RefusedRun++
+	}
 	c.pending = frame{}
 	c.nextAt = now.Add(redialAfter)
 }
 
+// Flow returns the flow of the present connection.
+func (c *Client) Flow() (hsflow.Key, bool) {
+	if c.conn == nil {
+		return hsflow.Key{}, false
+	}
+	return hsflow.NewKey(hsflow.TCP, c.conn.Local, c.conn.Remote), true
+}
+
 // Tick lets time pass.
 func (c *Client) Tick(now time.Time) {
 	if c.cfg.Script.Proto == hsflow.UDP {
--- a/internal/hslab/conn.go
+++ b/internal/hslab/conn.go
@@ -49,7 +49,11 @@
 		rto     time.Duration
 		tries   int
 		dupAcks int
-		out     []hspacket.Spec
+		// While una is before it, each advance sends the next segment again
+		// (RFC 6582).
+		recoverTo  uint32
+		recovering bool
+		out        []hspacket.Spec
 	}
 
 	// Failure says how a connection ended.
@@ -80,7 +84,7 @@
 	windowSize    = 64 * 1024
 	maxOutOfOrder = 128
 	rtoMin        = 200 * time.Millisecond
-	rtoMax        = 2 * time.Second
+	rtoMax        = time.Second
 	maxTries      = 14
 	fastAcks      = 3
 )
@@ -283,6 +287,11 @@
 	if c.nxt != c.una {
 		c.timer = now.Add(c.rto)
 	}
+	if c.recovering && int32(c.recoverTo-c.una) > 0 {
+		c.resend(now)
+	} else {
+		c.recovering = false
+	}
 	c.push(now)
 }
 
@@ -353,6 +362,10 @@
 
 // resend sends the first unacknowledged segment again.
 func (c *Conn) resend(now time.Time) {
+	if !c.recovering {
+		c.recovering = true
+		c.recoverTo = c.nxt
+	}
 	switch {
 	case c.state == stateSynSent:
 		c.transmit(now, hspacket.SYN, c.iss, nil)
--- a/internal/hslab/tally.go
+++ b/internal/hslab/tally.go
@@ -21,6 +21,7 @@
 	t.Cut += other.Cut
 	t.Crossed += other.Crossed
 	t.Unopened += other.Unopened
+	t.RefusedRun += other.RefusedRun
 	t.Open += other.Open
 	t.Latency.Merge(other.Latency)
 	t.Notes = append(t.Notes, other.Notes...)
--- /dev/null
+++ b/internal/hsmatrix/fault.go
@@ -0,0 +1,200 @@
+package hsmatrix
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Fault is something that happens to a scene.
+type Fault struct {
+	Name string
+	// A change that the operators planned: no connection may break.
+	Planned bool
+	// Time until its end or its detection, whichever comes first to callers.
+	Down time.Duration
+	Run  func(*Scene)
+}
+
+const (
+	// fabricLag is the time that the fabric takes to notice a host's end.
+	fabricLag = time.Second
+	cutTime   = 2 * time.Second
+)
+
+// Faults are all faults, planned changes first.
+var Faults = []Fault{
+	{"none", true, 0, func(*Scene) {}},
+	{"targets-join", true, 0, func(s *Scene) { s.AddTargets("b"); s.Publish() }},
+	{"targets-half-leave", true, 0, func(s *Scene) { s.leaveTargets(2); s.Publish() }},
+	{"targets-replaced", true, 0, replaceTargets},
+	{"targets-replaced-one-by-one", true, 0, replaceOneByOne},
+	{"host-joins", true, 0, func(s *Scene) { s.AddHosts("b", 1); s.Publish(); s.sprayLater() }},
+	{"host-leaves", true, 0, func(s *Scene) { s.leaveHosts(s.Home()) }},
+	{"zone-hosts-replaced", true, 0, func(s *Scene) {
+		old := s.ZoneOf(s.Home())
+		s.AddHosts("b", 3)
+		s.leaveHosts(old...)
+	}},
+	{"all-hosts-replaced", true, 0, replaceHosts},
+	{"building-moves-at-once", true, 0, func(s *Scene) { replaceTargets(s); replaceHosts(s) }},
+	{"manifest-uneven", true, 0, func(s *Scene) {
+		for i, h := range s.N.Hosts {
+			h.Lag = time.Duration(i) * 150 * time.Millisecond
+		}
+		replaceTargets(s)
+	}},
+	{"three-manifests-in-flight", true, 0, threeManifests},
+	{"host-crash", false, time.Second, func(s *Scene) { s.crash(s.Home()) }},
+	{"two-hosts-crash", false, time.Second, func(s *Scene) { s.crash(s.Home()); s.crash(s.other()) }},
+	{"zone-hosts-crash", false, time.Second, func(s *Scene) { s.crash(s.ZoneOf(s.Home())...) }},
+	{"host-restarts-empty", false, time.Second, func(s *Scene) { s.restart(s.Home()) }},
+	{"zone-restarts-empty", false, time.Second, func(s *Scene) { s.restart(s.ZoneOf(s.Home())...) }},
+	{"all-hosts-restart-empty", false, time.Second, func(s *Scene) { s.restart(s.N.Hosts...) }},
+	{"host-paused-300ms", false, 300 * time.Millisecond, func(s *Scene) { s.Home().Freeze(300 * time.Millisecond) }},
+	{"host-paused-5s", false, time.Second, func(s *Scene) { s.pause(s.Home(), 5*time.Second) }},
+	{"zone-cut", false, cutTime, func(s *Scene) { s.cutZone(true) }},
+	{"zone-cut-one-way", false, cutTime, func(s *Scene) { s.cutZone(false) }},
+	{"loss-20-percent", false, time.Second, func(s *Scene) { s.N.Loss = 0.2; s.N.After(time.Second, func() { s.N.Loss = 0 }) }},
+	{"duplicates-and-reordering", false, time.Second, func(s *Scene) {
+		s.N.Twice, s.N.Delay = 0.2, 8*time.Millisecond
+		s.N.After(time.Second, func() { s.N.Twice, s.N.Delay = 0, 0 })
+	}},
+	{"platform-down-and-host-crash", false, time.Second, func(s *Scene) { s.N.PlatformDown = true; s.crash(s.Home()) }},
+	{"crash-during-handover", false, time.Second, func(s *Scene) {
+		home := s.Home()
+		s.leaveHosts(home)
+		s.N.After(3*time.Millisecond, func() { s.crash(home) })
+	}},
+	{"crash-as-targets-are-replaced", false, time.Second, func(s *Scene) { replaceTargets(s); s.crash(s.Home()) }},
+}
+
+// leaveTargets marks every nth target of building A as leaving.
+func (s *Scene) leaveTargets(every int) {
+	for i := range s.Estate.Targets {
+		t := &s.Estate.Targets[i]
+		if i%every == 0 && t.Address.As4()[3] <= 9 {
+			t.Leaving = true
+		}
+	}
+}
+
+func replaceTargets(s *Scene) {
+	s.AddTargets("b")
+	s.leaveTargets(1)
+	s.Publish()
+}
+
+func replaceOneByOne(s *Scene) {
+	s.AddTargets("b")
+	s.Publish()
+	for i := range 9 {
+		s.N.After(time.Duration(i)*100*time.Millisecond, func() {
+			s.Estate.Targets[i].Leaving = true
+			s.Publish()
+		})
+	}
+}
+
+func replaceHosts(s *Scene) {
+	old := append([]*Host(nil), s.N.Hosts...)
+	s.AddHosts("b", 6)
+	s.Publish()
+	s.sprayLater()
+	for i, h := range old {
+		s.N.After(2*time.Second+time.Duration(i)*50*time.Millisecond, func() { s.leaveHosts(h) })
+	}
+}
+
+// threeManifests publishes three manifests within 20 ms, while one zone's
+// hosts are three behind.
+func threeManifests(s *Scene) {
+	for _, h := range s.ZoneOf(s.Home()) {
+		h.Lag = 400 * time.Millisecond
+	}
+	s.AddTargets("b")
+	s.Publish()
+	s.N.After(10*time.Millisecond, func() { s.leaveTargets(2); s.Publish() })
+	s.N.After(20*time.Millisecond, func() { s.leaveTargets(1); s.Publish() })
+}
+
+// leaveHosts starts planned stops and publishes them.
+func (s *Scene) leaveHosts(hosts ...*Host) {
+	for _, h := range hosts {
+		for i := range s.Estate.Hosts {
+			if s.Estate.Hosts[i].Name == h.Name {
+				s.Estate.Hosts[i].Leaving = true
+			}
+		}
+		h.Leave()
+	}
+	s.Publish()
+	s.sprayLater()
+}
+
+// crash ends hosts; the fabric notices later.
+func (s *Scene) crash(hosts ...*Host) {
+	for _, h := range hosts {
+		h.Crash()
+	}
+	s.sprayLater()
+}
+
+// restart ends hosts and starts them at once, empty. The fabric does not
+// notice.
+func (s *Scene) restart(hosts ...*Host) {
+	for _, h := range hosts {
+		h.Crash()
+		h.Start()
+	}
+}
+
+// pause freezes a host; the fabric notices its silence and its return.
+func (s *Scene) pause(h *Host, d time.Duration) {
+	h.Freeze(d)
+	s.N.After(fabricLag, func() {
+		s.SprayAll()
+		for i, o := range s.N.Spray {
+			if o == h {
+				s.N.Spray = append(s.N.Spray[:i:i], s.N.Spray[i+1:]...)
+				break
+			}
+		}
+	})
+	s.N.After(d+fabricLag, s.SprayAll)
+}
+
+// cutZone cuts the home's zone off from the other zones and the platform, in
+// both directions or only towards it.
+func (s *Scene) cutZone(both bool) {
+	zone := s.Home().Zone
+	s.N.PlatformDown = true
+	s.N.Cut = func(from, to netip.Addr) bool {
+		if from == fabric || to == fabric {
+			return false
+		}
+		in, out := s.InZone(from, zone), s.InZone(to, zone)
+		return in != out && (both || out)
+	}
+	s.N.After(cutTime, func() {
+		s.N.PlatformDown = false
+		s.N.Cut = func(_, _ netip.Addr) bool { return false }
+		for _, h := range s.N.Hosts {
+			h.readPlatform()
+		}
+	})
+}
+
+// other returns a running host that is not the home.
+func (s *Scene) other() *Host {
+	home := s.Home()
+	for _, h := range s.N.Hosts {
+		if h != home && h.running {
+			return h
+		}
+	}
+	return home
+}
+
+func (s *Scene) sprayLater() {
+	s.N.After(fabricLag, s.SprayAll)
+}
--- /dev/null
+++ b/internal/hsmatrix/host.go
@@ -0,0 +1,316 @@
+package hsmatrix
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"heatherstack.org/heatherstack/internal/hscode"
+	"heatherstack.org/heatherstack/internal/hscontrol"
+	"heatherstack.org/heatherstack/internal/hshome"
+	"heatherstack.org/heatherstack/internal/hsmanifest"
+	"heatherstack.org/heatherstack/internal/hspacket"
+	"heatherstack.org/heatherstack/internal/hsschema"
+)
+
+type (
+	// Decider is the decision core of the data path, or a baseline for it.
+	Decider interface {
+		Step(now time.Time, in *hshome.Input, out []hshome.Output) []hshome.Output
+	}
+
+	// Host is an entry host: the two real cores, joined as the tasks of
+	// hsentry join them.
+	Host struct {
+		Name string
+		Addr netip.Addr
+		Zone string
+		// Time that the platform's changes take longer to reach this host.
+		Lag time.Duration
+		// Makes the data path's core; nil means hshome.
+		Make func(cfg hshome.Config) Decider
+
+		n       *Net
+		control *hscontrol.Core
+		core    Decider
+		// Counts starts, so that timers of an earlier one do nothing.
+		life    int
+		running bool
+		frozen  bool
+		backlog []func()
+		ticked  time.Time
+		stale   time.Time
+		traffic time.Time
+		leaving bool
+		// True after a planned stop ended.
+		Stopped bool
+	}
+)
+
+const (
+	probeInterval  = 250 * time.Millisecond
+	suspectTime    = 500 * time.Millisecond
+	lease          = time.Second
+	reportInterval = 250 * time.Millisecond
+	quietAfter     = time.Second
+	idleTime       = 2 * time.Hour
+	maxFlows       = 1_000_000
+	maxBacklog     = 4096
+)
+
+// AddHost adds and starts an entry host.
+func (n *Net) AddHost(name, zone string, a netip.Addr) *Host {
+	h := &Host{Name: name, Addr: a, Zone: zone, n: n}
+	n.Hosts = append(n.Hosts, h)
+	n.byHost[a] = h
+	h.Start()
+	return h
+}
+
+// Start starts the host empty, with a new boot number.
+func (h *Host) Start() {
+	h.n.boots++
+	h.life++
+	h.running = true
+	h.frozen = false
+	h.leaving = false
+	h.Stopped = false
+	h.core = nil
+	h.backlog = nil
+	h.ticked = h.n.Now
+	h.traffic = h.n.Now
+	h.control = hscontrol.New(hscontrol.Config{
+		Self:    h.Name,
+		Boot:    h.n.boots,
+		Probe:   probeInterval,
+		Suspect: suspectTime,
+		Lease:   lease,
+		Start:   h.n.Now,
+	})
+	h.every(hshome.TickInterval, h.tickCore)
+	h.every(hscontrol.TickInterval, func() { h.apply(h.control.Tick(h.n.Now)) })
+	h.every(reportInterval, h.report)
+	h.readPlatform()
+}
+
+// Crash ends the host at once.
+func (h *Host) Crash() {
+	h.running = false
+	h.life++
+}
+
+// Freeze stops the process, but not its socket, for d.
+func (h *Host) Freeze(d time.Duration) {
+	h.frozen = true
+	life := h.life
+	h.n.After(d, func() {
+		if h.life == life {
+			h.wake()
+		}
+	})
+}
+
+// Leave starts the planned stop.
+func (h *Host) Leave() {
+	h.leaving = true
+	h.apply(h.control.Leave(h.n.Now))
+}
+
+// Version returns the version in force here, or zero.
+func (h *Host) Version() uint64 {
+	if m, _ := h.control.Current(); m != nil && h.running {
+		return m.Version
+	}
+	return 0
+}
+
+// Core returns the real decision core, or nil.
+func (h *Host) Core() *hshome.Core {
+	core, _ := h.core.(*hshome.Core)
+	return core
+}
+
+func (h *Host) every(d time.Duration, f func()) {
+	life := h.life
+	var again func()
+	again = func() {
+		if h.life != life {
+			return
+		}
+		if !h.frozen {
+			f()
+		}
+		h.n.After(d, again)
+	}
+	h.n.After(d, again)
+}
+
+// wake takes what waited in the socket.
+func (h *Host) wake() {
+	h.frozen = false
+	backlog := h.backlog
+	h.backlog = nil
+	for _, f := range backlog {
+		f()
+	}
+}
+
+// do runs f now, or later if the process is frozen.
+func (h *Host) do(f func()) {
+	switch {
+	case !h.running:
+	case !h.frozen:
+		f()
+	case len(h.backlog) < maxBacklog:
+		h.backlog = append(h.backlog, f)
+	}
+}
+
+func (h *Host) receive(m message) {
+	h.do(func() { h.packet(m) })
+}
+
+func (h *Host) packet(m message) {
+	h.checkPause()
+	if h.core == nil {
+		return
+	}
+	p := hspacket.Packet{Steer: m.steer}
+	if !m.steer.Kind.Control() {
+		if h.n.dec.DecodeInner(m.inner, &p) != hscode.OK {
+			return
+		}
+		if h.n.Now.Before(h.stale) && p.Seg.Flags == 0 {
+			return
+		}
+	}
+	if m.steer.Kind == hspacket.KindNone {
+		h.traffic = h.n.Now
+	}
+	h.step(&hshome.Input{Kind: hshome.InPacket, Packet: &p, From: m.from}, m.inner)
+}
+
+func (h *Host) step(in *hshome.Input, inner []byte) {
+	if !h.running || h.core == nil {
+		return
+	}
+	h.n.carryOut(h, h.core.Step(h.n.Now, in, nil), inner)
+}
+
+// checkPause does what the switch task does when it ran too long ago.
+func (h *Host) checkPause() {
+	if h.n.Now.Sub(h.ticked) <= lease {
+		return
+	}
+	h.ticked = h.n.Now
+	h.stale = h.n.Now.Add(time.Millisecond)
+	h.step(&hshome.Input{Kind: hshome.InPause}, nil)
+	h.apply(h.control.Paused(h.n.Now))
+}
+
+func (h *Host) tickCore() {
+	h.checkPause()
+	h.ticked = h.n.Now
+	h.step(&hshome.Input{Kind: hshome.InTick}, nil)
+}
+
+func (h *Host) report() {
+	core := h.Core()
+	if core == nil {
+		return
+	}
+	quiet := h.leaving && core.Quiet() && h.n.Now.Sub(h.traffic) > quietAfter
+	h.apply(h.control.Loads(h.n.Now, core.Loads(nil), quiet, h.control.Waiting()))
+}
+
+// apply carries out what the control core wants done.
+func (h *Host) apply(out hscontrol.Output) {
+	for i := range out.Inputs {
+		h.controlInput(&out.Inputs[i])
+	}
+	for _, hb := range out.Heartbeats {
+		h.sendHeartbeat(hb)
+	}
+	for _, f := range out.Fetches {
+		h.fetch(f)
+	}
+	if out.Reader {
+		h.readPlatform()
+	}
+	if out.Stopped {
+		h.Crash()
+		h.Stopped = true
+	}
+}
+
+func (h *Host) controlInput(in *hshome.Input) {
+	if in.Kind == hshome.InView && h.core == nil {
+		cfg := hshome.Config{MaxFlows: maxFlows, Idle: idleTime, Start: h.n.Now, View: in.View}
+		if h.Make != nil {
+			h.core = h.Make(cfg)
+		} else {
+			h.core = hshome.New(cfg)
+		}
+		if h.control.Waiting() {
+			h.step(&hshome.Input{Kind: hshome.InPause}, nil)
+		}
+		return
+	}
+	h.step(in, nil)
+}
+
+func (h *Host) sendHeartbeat(hb hscontrol.Heartbeat) {
+	n := h.n
+	if n.Cut(h.Addr, hb.To) || n.RNG.Float64() < n.Loss {
+		return
+	}
+	n.After(linkDelay, func() {
+		if peer := n.byHost[hb.To]; peer != nil {
+			peer.heartbeat(hb.Message, h.Addr)
+		}
+	})
+}
+
+func (h *Host) heartbeat(m *hsschema.Heartbeat, from netip.Addr) {
+	h.do(func() { h.apply(h.control.Receive(h.n.Now, m, from)) })
+}
+
+// fetch models the call to a peer: it is answered or not.
+func (h *Host) fetch(f hscontrol.Fetch) {
+	n := h.n
+	n.After(2*linkDelay, func() {
+		peer := n.byHost[f.To]
+		if peer == nil || !peer.running || peer.frozen || n.Cut(h.Addr, f.To) || n.Cut(f.To, h.Addr) {
+			return
+		}
+		m, history := peer.control.Current()
+		if m != nil && m.Version >= f.Version {
+			h.offer(m, history)
+		}
+	})
+}
+
+func (h *Host) offer(m *hsmanifest.Manifest, history hsmanifest.History) {
+	h.do(func() { h.apply(h.control.Offer(h.n.Now, m, history)) })
+}
+
+// readPlatform reads the platform, now and whenever it publishes, while this
+// host is one of its zone's readers.
+func (h *Host) readPlatform() {
+	life := h.life
+	h.n.After(platformLag+h.Lag, func() {
+		if h.life != life || h.n.Published == nil || h.n.PlatformDown || !h.control.Reader() {
+			return
+		}
+		h.offer(h.n.Published, nil)
+	})
+}
+
+func sortedAddrs[V any](m map[netip.Addr]V) []netip.Addr {
+	out := make([]netip.Addr, 0, len(m))
+	for a := range m {
+		out = append(out, a)
+	}
+	slices.SortFunc(out, netip.Addr.Compare)
+	return out
+}
