Claim a flow that a new home knows by the time it is tried there

Cause: of two new homes, one tried a flow on a target of the other, which had received the flow by handover a moment earlier. Ruled out: loss of the claim; the run has no loss.

Change: a trial is its own kind of message, and a home that knows the flow answers it with a claim.

--- a/internal/hshome/caller.go
+++ b/internal/hshome/caller.go
@@ -232,8 +232,12 @@
 		c.emit(Output{Kind: ToTarget, Addr: c.view.Targets[t.at].Address, Data: x.data})
 		return
 	}
+	kind := hspacket.KindExact
+	if f.phase == trying {
+		kind = hspacket.KindTry
+	}
 	c.forward(home, hspacket.Steer{
-		Kind:   hspacket.KindExact,
+		Kind:   kind,
 		Hops:   hops + 1,
 		Boot:   c.cfg.Boot,
 		Target: uint64(t.id),
@@ -253,7 +257,7 @@
 	x := newContext(p)
 	f := c.flows.Get(&x.key, x.hash)
 	if f != nil && f.known() && (!p.Seg.Opens() || !f.reusable()) {
-		if f.target != n {
+		if f.target != n || p.Steer.Kind == hspacket.KindTry {
 			c.correct(&x, f, via)
 		}
 		c.onFlow(&x, s, f, p.Steer.Hops)
@@ -296,7 +300,8 @@
 	return f
 }
 
-// correct tells a host whose exception is out of date where the flow is.
+// correct tells a host whose exception is out of date, or that tries the flow,
+// where it is.
 func (c *Core) correct(x *context, f *flow, via netip.Addr) {
 	c.control(via, hspacket.Steer{Kind: hspacket.KindClaim, Target: uint64(c.targets[f.target].id), Flow: x.key})
 }
--- a/internal/hshome/ingress.go
+++ b/internal/hshome/ingress.go
@@ -25,7 +25,7 @@
 	switch p.Steer.Kind {
 	case hspacket.KindForward:
 		c.forwarded(p)
-	case hspacket.KindExact:
+	case hspacket.KindExact, hspacket.KindTry:
 		c.exact(p, from)
 	case hspacket.KindReply:
 		c.relayedReply(p)
--- a/internal/hsmatrix/net.go
+++ b/internal/hsmatrix/net.go
@@ -39,6 +39,8 @@
 		PlatformDown bool
 		// Sees each IP packet that reaches a target or a caller.
 		Watch func(to netip.Addr, p *hspacket.Packet)
+		// Sees every message that arrives; for diagnosis.
+		Trace func(what string, from, to netip.Addr, steer hspacket.Steer, p *hspacket.Packet)
 		// Packets that entry hosts delivered or forwarded.
 		Delivered int
 		Forwarded int
@@ -164,6 +166,7 @@
 }
 
 func (n *Net) arrive(m message) {
+	n.trace(m)
 	if h := n.byHost[m.to]; h != nil {
 		h.receive(m)
 		return
@@ -185,6 +188,18 @@
 	n.flushServer(m.to, s)
 }
 
+func (n *Net) trace(m message) {
+	if n.Trace == nil {
+		return
+	}
+	var p hspacket.Packet
+	if m.inner == nil || n.dec.DecodeInner(m.inner, &p) != hscode.OK {
+		n.Trace("control", m.from, m.to, m.steer, nil)
+		return
+	}
+	n.Trace("packet", m.from, m.to, m.steer, &p)
+}
+
 func (n *Net) toCaller(m message, code hscode.Code, p *hspacket.Packet) {
 	c := n.byCaller[hslab.InnerDst(m.inner)]
 	if c == nil {
--- a/internal/hspacket/steer.go
+++ b/internal/hspacket/steer.go
@@ -50,6 +50,9 @@
 	KindClaim Kind = 5
 	// KindDeny answers an ask: the flow is not known.
 	KindDeny Kind = 6
+	// KindTry is KindExact of a sender that does not know whether the target
+	// holds the flow and waits for a claim or deny.
+	KindTry Kind = 7
 )
 
 const (
@@ -149,7 +152,7 @@
 	s.Target = binary.BigEndian.Uint64(d[8:])
 	s.LoadTarget = binary.BigEndian.Uint64(d[loadAt:])
 	s.LoadFlows = binary.BigEndian.Uint32(d[loadFlowsAt:])
-	if s.Kind == KindNone || s.Kind > KindDeny {
+	if s.Kind == KindNone || s.Kind > KindTry {
 		return false
 	}
 	if s.Kind.Control() != (len(d) == controlData) {
