Trust a target's RST only on a connection that is proven to be its own

Cause: during a cut, one SYN was placed on two targets. Homes also claimed flows from exceptions alone, which is hearsay.

Change: a flow is proven once caller and target were seen to agree on sequence numbers; an RST before that starts a recovery instead. A SYN-ACK alone does not settle a flow. Only a target's present or previous home claims. Candidates that are silent and cannot be shown to live end a recovery without a word.

--- a/internal/hscode/hscode.go
+++ b/internal/hscode/hscode.go
@@ -79,6 +79,7 @@
 	FlowHops         Code = 4013
 	FlowTooOld       Code = 4014
 	FlowAddressMoved Code = 4015
+	FlowUnanswered   Code = 4016
 
 	PeerUnknown  Code = 5001
 	PeerMAC      Code = 5002
@@ -140,6 +141,7 @@
 	{FlowHops, "flow-hops", "A packet was forwarded too often.", "Compare versions in force on the hosts."},
 	{FlowTooOld, "flow-too-old", "A datagram waited in a paused process and was dropped.", "Find out what paused it."},
 	{FlowAddressMoved, "flow-address-moved", "The service's address belongs to another service now; the flow was reset.", "Leave an address unused for a while before reuse."},
+	{FlowUnanswered, "flow-unanswered", "A candidate neither denied nor answered; the caller was told nothing and may try again.", "Look for targets or zones that cannot be reached."},
 	{PeerUnknown, "peer-unknown", "A steering or control packet came from an address outside the manifest's host list.", "Look for a spoofing sender or a missing host."},
 	{PeerMAC, "peer-mac", "A control message's MAC is wrong.", "Compare the key setting of the hosts."},
 	{PeerMessage, "peer-message", "A control message cannot be decoded.", "Check that releases are compatible."},
--- a/internal/hshome/caller.go
+++ b/internal/hshome/caller.go
@@ -55,8 +55,12 @@
 		return
 	}
 	f.noteCaller(c.now, x.p.Seg)
-	if f.phase == opening && f.marks&markReply != 0 && x.p.Seg.Flags.Has(hspacket.ACK) {
-		c.setPhase(f, open)
+	if f.marks&markReply != 0 && x.p.Seg.Flags.Has(hspacket.ACK) {
+		// doubtful has compared the numbers.
+		f.marks |= proven
+		if f.phase == opening {
+			c.setPhase(f, open)
+		}
 	}
 	c.deliver(x, f, hops)
 	c.closeByCaller(x, f)
@@ -97,6 +101,9 @@
 		ahead := seg.Ack - (f.isn + 1)
 		return ahead > maxAhead
 	}
+	if f.marks&doubted != 0 || (f.phase == open && f.marks&proven == 0 && !f.plausible(seg.Seq, seg.Ack)) {
+		return true
+	}
 	if f.phase != open || seg.Len == 0 || f.unanswered == 0 {
 		return false
 	}
--- a/internal/hshome/flow.go
+++ b/internal/hshome/flow.go
@@ -7,7 +7,7 @@
 
 type (
 	phase uint8
-	marks uint8
+	marks uint16
 
 	// flow is what a host holds about one flow.
 	flow struct {
@@ -69,6 +69,11 @@
 	handed
 	// datagrams: the flow is UDP.
 	datagrams
+	// proven: caller and target were seen to agree on sequence numbers, so the
+	// target holds the caller's connection.
+	proven
+	// doubted: the target answered an RST before the flow was proven.
+	doubted
 )
 
 const (
--- a/internal/hshome/recover.go
+++ b/internal/hshome/recover.go
@@ -188,7 +188,9 @@
 	c.control(via, answer)
 }
 
-// claims reports whether the flow held here answers an ask.
+// claims reports whether the flow held here answers an ask. Only a host that
+// is or was the target's home knows; an exception is hearsay, and its target's
+// home is asked as well.
 func (c *Core) claims(f *flow, s *hsrank.Service, p *hspacket.Packet) bool {
 	if f.phase != open && f.phase != opening {
 		return false
@@ -197,7 +199,14 @@
 	if at < 0 || !s.Serves(at) {
 		return false
 	}
-	return p.Steer.Flow.Proto() == hsflow.UDP || f.plausible(p.Steer.Seq, p.Steer.Ack)
+	t := &c.view.Targets[at]
+	if t.Home != c.self() && t.Before != c.self() {
+		return false
+	}
+	if p.Steer.Flow.Proto() == hsflow.UDP {
+		return true
+	}
+	return f.marks&markReply != 0 && f.plausible(p.Steer.Seq, p.Steer.Ack)
 }
 
 // sureOfAll reports whether every flow of the candidates that are or were
@@ -295,6 +304,7 @@
 	c.Stats.Recovered++
 	c.bind(f, n, open)
 	f.unanswered = 0
+	f.marks &^= proven | doubted
 	c.finish(w)
 	if !flush {
 		return
@@ -429,11 +439,40 @@
 		}
 	}
 	all := uint16(1)<<len(w.cands) - 1
-	if w.denied == all || w.rounds >= maxRounds {
+	switch {
+	case w.denied == all:
 		c.giveUp(w, hscode.FlowDenied)
-		return
+	case w.rounds < maxRounds:
+		c.try(w, f, w.at)
+	case c.silentTargetsLive(w):
+		c.giveUp(w, hscode.FlowDenied)
+	default:
+		c.abandon(w, f)
 	}
-	c.try(w, f, w.at)
+}
+
+// silentTargetsLive reports whether all candidates that neither denied the
+// flow nor answered are answering others, so that it is the flow that is lost
+// and not the way to the target.
+func (c *Core) silentTargetsLive(w *wait) bool {
+	for i, n := range w.cands {
+		if w.denied&(1<<i) != 0 {
+			continue
+		}
+		if c.home(n) != c.self() || c.now-c.targets[n].heard >= aliveWithin {
+			return false
+		}
+	}
+	return true
+}
+
+// abandon ends a recovery without telling the caller anything, since a
+// candidate that cannot be reached now may hold the flow. The caller's next
+// packet begins another one.
+func (c *Core) abandon(w *wait, f *flow) {
+	c.count(hscode.FlowUnanswered)
+	c.finish(w)
+	c.drop(f, &w.key, w.key.Hash())
 }
 
 // giveUp tells the caller that the flow is lost.
@@ -474,6 +513,7 @@
 	switch {
 	case holds:
 		c.settle(w, f, n, !current)
+		f.marks |= proven
 		f.learn(c.now, p.Seg)
 		c.reply()
 	case current:
@@ -500,6 +540,7 @@
 		return
 	}
 	c.setPhase(f, open)
+	f.marks |= proven
 	f.learn(c.now, p.Seg)
 	answer.Kind = hspacket.KindClaim
 	c.answer(via, answer)
--- a/internal/hshome/reply.go
+++ b/internal/hshome/reply.go
@@ -42,7 +42,12 @@
 	if c.flows.Len() < c.cfg.MaxFlows {
 		f := c.flows.Put(&key, hash)
 		*f = newFlow(c.now, p.Proto)
-		c.bind(f, n, open)
+		// The caller's ACK decides about a SYN-ACK; see doubtful.
+		as := open
+		if p.Seg.Flags.Has(hspacket.SYN) {
+			as = opening
+		}
+		c.bind(f, n, as)
 		c.Stats.Recovered++
 		f.learn(c.now, p.Seg)
 	}
@@ -65,6 +70,14 @@
 		c.count(hscode.FlowLate)
 		return
 	}
+	if p.Proto == hsflow.TCP && p.Seg.Flags.Has(hspacket.RST) && !c.trusted(f, p.Seg) {
+		c.count(hscode.FlowTrialReset)
+		f.marks |= doubted
+		return
+	}
+	if f.answers(p.Seg) {
+		f.marks |= proven
+	}
 	if f.phase == opening && !p.Seg.Flags.Has(hspacket.SYN) {
 		// After a SYN-ACK, the caller's ACK decides; see doubtful.
 		c.setPhase(f, open)
@@ -79,6 +92,16 @@
 	c.reply()
 }
 
+// trusted reports whether a target's RST speaks about the caller's connection:
+// the connection is proven, or the RST answers the SYN itself. Any other RST
+// may only mean that the flow is with another target.
+func (c *Core) trusted(f *flow, s hspacket.Segment) bool {
+	if f.marks&proven != 0 || f.phase == closed {
+		return true
+	}
+	return f.phase == opening && s.Flags.Has(hspacket.ACK) && s.Ack == f.caller
+}
+
 // rebind moves a flow to the target that provably holds it: the segment agrees
 // with the connection's sequence numbers in both directions.
 func (c *Core) rebind(p *hspacket.Packet, f *flow, n uint32) bool {
@@ -86,6 +109,8 @@
 		return false
 	}
 	c.bind(f, n, open)
+	f.marks |= proven
+	f.marks &^= doubted
 	return true
 }
 
--- a/internal/hshome/sweep.go
+++ b/internal/hshome/sweep.go
@@ -144,6 +144,6 @@
 	c.release(f)
 	*f = newFlow(c.now, e.Flow.Proto())
 	f.isn, f.caller, f.reply = e.ISN, e.Caller, e.Reply
-	f.marks |= markCaller | markReply
+	f.marks |= markCaller | markReply | proven
 	c.bind(f, n, open)
 }
