Run pairs and sequences of faults; try every listed target of an unknown past

Cause: pairs of faults found four holes. After all hosts restarted during a change of targets, nobody knew the older generations, and callers whose target ranked lower were reset. A host that restarted while the platform was down never got a manifest.

Change: the history ends in a guess that every listed target may hold a flow; a refuted exception goes whatever its phase; a host without manifest fetches one from the peer whose authenticated heartbeat reaches it. In the model, the fabric sprays ready hosts only, and operators stop a host only after another one is ready, since a host without any manifest can serve nobody.

--- a/internal/hscontrol/control.go
+++ b/internal/hscontrol/control.go
@@ -194,7 +194,11 @@
 
 // Receive takes a heartbeat whose MAC was verified, from an outer address.
 func (c *Core) Receive(now time.Time, hb *hsschema.Heartbeat, from netip.Addr) Output {
-	if c.view == nil || c.address(hb.GetFrom()) != from {
+	if c.view == nil {
+		c.bootstrap(now, from)
+		return c.take()
+	}
+	if c.address(hb.GetFrom()) != from {
 		c.code(hscode.PeerUnknown)
 		return c.take()
 	}
@@ -248,6 +252,17 @@
 	return c.learned || hb.GetHistory() == history.Digest()
 }
 
+// bootstrap fetches a first manifest from the sender of a heartbeat. Peers know
+// this host from theirs, so a host that starts empty while the platform is down
+// needs no list of peers; the heartbeat's MAC vouches for the sender.
+func (c *Core) bootstrap(now time.Time, from netip.Addr) {
+	if now.Sub(c.fetched) < fetchInterval {
+		return
+	}
+	c.fetched = now
+	c.out.Fetches = append(c.out.Fetches, Fetch{To: from})
+}
+
 // wake starts the wait for word from a peer after a pause.
 func (c *Core) wake(now time.Time) {
 	c.waiting = true
--- a/internal/hshome/caller.go
+++ b/internal/hshome/caller.go
@@ -55,7 +55,7 @@
 		return
 	}
 	f.noteCaller(c.now, x.p.Seg)
-	if f.marks&markReply != 0 && x.p.Seg.Flags.Has(hspacket.ACK) {
+	if f.marks&markHeard != 0 && x.p.Seg.Flags.Has(hspacket.ACK) {
 		// doubtful has compared the numbers.
 		f.marks |= proven
 		if f.phase == opening {
@@ -95,7 +95,7 @@
 	if f.phase == opening && seg.Flags.Has(hspacket.ACK) {
 		// Its home sees a target's SYN-ACK before the caller does, so an
 		// acknowledgement of something else was earned elsewhere.
-		if f.marks&markReply == 0 {
+		if f.marks&markHeard == 0 {
 			return true
 		}
 		ahead := seg.Ack - (f.isn + 1)
@@ -144,7 +144,7 @@
 		return true
 	}
 	var room [hsrank.MaxCandidates]int
-	cands := c.view.Candidates(s, x.hash, room[:0])
+	cands := c.view.Known(s, x.hash, room[:0])
 	var choices [hsrank.MaxCandidates]int
 	return len(cands) > len(c.view.Choices(s, x.hash, choices[:0]))
 }
@@ -263,7 +263,7 @@
 	n := c.ofView[at]
 	x := newContext(p)
 	f := c.flows.Get(&x.key, x.hash)
-	if f != nil && f.known() && (!p.Seg.Opens() || !f.reusable()) {
+	if f != nil && f.known() && (!p.Seg.Opens() || !f.reusable()) && !c.refuted(f, n, p, via) {
 		if f.target != n || p.Steer.Kind == hspacket.KindTry {
 			c.correct(&x, f, via)
 		}
@@ -284,6 +284,17 @@
 	c.deliver(&x, f, p.Steer.Hops)
 }
 
+// refuted reports whether a packet for target n shows that the exception held
+// here is wrong: the home of the exception's target sends it, or somebody who
+// has asked that home.
+func (c *Core) refuted(f *flow, n uint32, p *hspacket.Packet, via netip.Addr) bool {
+	home := c.home(f.target)
+	if f.target == n || home < 0 || home == c.self() {
+		return false
+	}
+	return p.Steer.Kind == hspacket.KindTry || c.view.Hosts[home].Address == via
+}
+
 // takeExact holds a flow that another host says is target n's. A flow that was
 // under recovery here ends it: the other host is at least as far.
 func (c *Core) takeExact(x *context, n uint32, via netip.Addr) *flow {
--- a/internal/hshome/flow.go
+++ b/internal/hshome/flow.go
@@ -18,7 +18,7 @@
 		// Host that lent the flow for a trial, as index into Core.hosts; valid
 		// in phase lent.
 		via uint16
-		// Initial sequence number of the target; valid with markReply.
+		// Initial sequence number of the target; valid with markHeard.
 		isn uint32
 		// Next sequence number expected of the caller; valid with markCaller.
 		caller uint32
@@ -59,8 +59,11 @@
 const (
 	// markCaller: caller is valid.
 	markCaller marks = 1 << iota
-	// markReply: isn and reply are valid.
+	// markReply: reply is valid, from the target's segments or from what the
+	// caller acknowledged.
 	markReply
+	// markHeard: isn and reply are from the target's own segments.
+	markHeard
 	// finCaller: the caller ended its direction.
 	finCaller
 	// finTarget: the target ended its direction.
@@ -147,6 +150,7 @@
 		f.reply = end
 		f.marks |= markReply
 	}
+	f.marks |= markHeard
 	if s.Flags.Has(hspacket.FIN) {
 		f.marks |= finTarget
 	}
--- a/internal/hshome/recover.go
+++ b/internal/hshome/recover.go
@@ -206,7 +206,7 @@
 	if p.Steer.Flow.Proto() == hsflow.UDP {
 		return true
 	}
-	return f.marks&markReply != 0 && f.plausible(p.Steer.Seq, p.Steer.Ack)
+	return f.marks&markHeard != 0 && f.plausible(p.Steer.Seq, p.Steer.Ack)
 }
 
 // sureOfAll reports whether every flow of the candidates that are or were
@@ -257,7 +257,7 @@
 	byTarget := hsmanifest.TargetID(p.Steer.Target) == c.targets[f.target].id
 	if w == nil {
 		// The exception held here is wrong; the next packet starts a recovery.
-		if byTarget && f.known() && c.home(f.target) != c.self() {
+		if byTarget && c.home(f.target) != c.self() {
 			c.drop(f, &p.Steer.Flow, hash)
 		}
 		return
@@ -304,7 +304,7 @@
 	c.Stats.Recovered++
 	c.bind(f, n, open)
 	f.unanswered = 0
-	f.marks &^= proven | doubted
+	f.marks &^= proven | doubted | markHeard
 	c.finish(w)
 	if !flush {
 		return
--- a/internal/hshome/sweep.go
+++ b/internal/hshome/sweep.go
@@ -94,7 +94,7 @@
 	}
 	// A flow whose replies were not seen here is an exception, which its home
 	// knows already.
-	if home < 0 || f.phase != open || f.marks&markReply == 0 || f.marks&handed != 0 {
+	if home < 0 || f.phase != open || f.marks&markHeard == 0 || f.marks&handed != 0 {
 		return
 	}
 	f.marks |= handed
@@ -144,6 +144,6 @@
 	c.release(f)
 	*f = newFlow(c.now, e.Flow.Proto())
 	f.isn, f.caller, f.reply = e.ISN, e.Caller, e.Reply
-	f.marks |= markCaller | markReply | proven
+	f.marks |= markCaller | markReply | markHeard | proven
 	c.bind(f, n, open)
 }
--- a/internal/hsmatrix/fault.go
+++ b/internal/hsmatrix/fault.go
@@ -24,15 +24,15 @@
 // Faults are all faults, planned changes first.
 var Faults = []Fault{
 	{"none", true, 0, func(*Scene) {}},
-	{"targets-join", true, 0, func(s *Scene) { s.AddTargets("b"); s.Publish() }},
-	{"targets-half-leave", true, 0, func(s *Scene) { s.leaveTargets(2); s.Publish() }},
+	{"targets-join", true, 0, func(s *Scene) { s.AddTargets(); s.Publish() }},
+	{"targets-half-leave", true, 0, func(s *Scene) { s.leaveTargets(len(s.Estate.Targets), 2); s.Publish() }},
 	{"targets-replaced", true, 0, replaceTargets},
 	{"targets-replaced-one-by-one", true, 0, replaceOneByOne},
-	{"host-joins", true, 0, func(s *Scene) { s.AddHosts("b", 1); s.Publish(); s.sprayLater() }},
+	{"host-joins", true, 0, func(s *Scene) { s.AddHosts(1); s.Publish(); s.sprayLater() }},
 	{"host-leaves", true, 0, func(s *Scene) { s.leaveHosts(s.Home()) }},
 	{"zone-hosts-replaced", true, 0, func(s *Scene) {
 		old := s.ZoneOf(s.Home())
-		s.AddHosts("b", 3)
+		s.AddHosts(3)
 		s.leaveHosts(old...)
 	}},
 	{"all-hosts-replaced", true, 0, replaceHosts},
@@ -49,7 +49,7 @@
 	{"zone-hosts-crash", false, time.Second, func(s *Scene) { s.crash(s.ZoneOf(s.Home())...) }},
 	{"host-restarts-empty", false, time.Second, func(s *Scene) { s.restart(s.Home()) }},
 	{"zone-restarts-empty", false, time.Second, func(s *Scene) { s.restart(s.ZoneOf(s.Home())...) }},
-	{"all-hosts-restart-empty", false, time.Second, func(s *Scene) { s.restart(s.N.Hosts...) }},
+	{"all-hosts-restart-empty", false, time.Second, func(s *Scene) { s.restart(s.running()...) }},
 	{"host-paused-300ms", false, 300 * time.Millisecond, func(s *Scene) { s.Home().Freeze(300 * time.Millisecond) }},
 	{"host-paused-5s", false, time.Second, func(s *Scene) { s.pause(s.Home(), 5*time.Second) }},
 	{"zone-cut", false, cutTime, func(s *Scene) { s.cutZone(true) }},
@@ -68,26 +68,23 @@
 	{"crash-as-targets-are-replaced", false, time.Second, func(s *Scene) { replaceTargets(s); s.crash(s.Home()) }},
 }
 
-// leaveTargets marks every nth target of building A as leaving.
-func (s *Scene) leaveTargets(every int) {
-	for i := range s.Estate.Targets {
-		t := &s.Estate.Targets[i]
-		if i%every == 0 && t.Address.As4()[3] <= 9 {
-			t.Leaving = true
-		}
+// leaveTargets marks every nth of the first targets as leaving.
+func (s *Scene) leaveTargets(first, every int) {
+	for i := 0; i < first; i += every {
+		s.Estate.Targets[i].Leaving = true
 	}
 }
 
 func replaceTargets(s *Scene) {
-	s.AddTargets("b")
-	s.leaveTargets(1)
+	old := s.AddTargets()
+	s.leaveTargets(old, 1)
 	s.Publish()
 }
 
 func replaceOneByOne(s *Scene) {
-	s.AddTargets("b")
+	old := s.AddTargets()
 	s.Publish()
-	for i := range 9 {
+	for i := range old {
 		s.N.After(time.Duration(i)*100*time.Millisecond, func() {
 			s.Estate.Targets[i].Leaving = true
 			s.Publish()
@@ -96,13 +93,25 @@
 }
 
 func replaceHosts(s *Scene) {
-	old := append([]*Host(nil), s.N.Hosts...)
-	s.AddHosts("b", 6)
+	old := s.running()
+	s.AddHosts(6)
 	s.Publish()
 	s.sprayLater()
 	for i, h := range old {
-		s.N.After(2*time.Second+time.Duration(i)*50*time.Millisecond, func() { s.leaveHosts(h) })
+		s.N.After(2*time.Second+time.Duration(i)*50*time.Millisecond, func() { s.leaveOnceReplaced(h) })
+	}
+}
+
+// leaveOnceReplaced starts a planned stop as operators do: only after a host
+// that stays is ready and has the same manifest.
+func (s *Scene) leaveOnceReplaced(old *Host) {
+	for _, h := range s.running() {
+		if h != old && h.Ready() && h.Version() == s.Estate.Version {
+			s.leaveHosts(old)
+			return
+		}
 	}
+	s.N.After(fabricLag, func() { s.leaveOnceReplaced(old) })
 }
 
 // threeManifests publishes three manifests within 20 ms, while one zone's
@@ -111,10 +120,10 @@
 	for _, h := range s.ZoneOf(s.Home()) {
 		h.Lag = 400 * time.Millisecond
 	}
-	s.AddTargets("b")
+	old := s.AddTargets()
 	s.Publish()
-	s.N.After(10*time.Millisecond, func() { s.leaveTargets(2); s.Publish() })
-	s.N.After(20*time.Millisecond, func() { s.leaveTargets(1); s.Publish() })
+	s.N.After(10*time.Millisecond, func() { s.leaveTargets(old, 2); s.Publish() })
+	s.N.After(20*time.Millisecond, func() { s.leaveTargets(old, 1); s.Publish() })
 }
 
 // leaveHosts starts planned stops and publishes them.
@@ -125,12 +134,25 @@
 				s.Estate.Hosts[i].Leaving = true
 			}
 		}
-		h.Leave()
+		if h.running {
+			h.Leave()
+		}
 	}
 	s.Publish()
 	s.sprayLater()
 }
 
+// running returns the hosts that run and are not leaving.
+func (s *Scene) running() []*Host {
+	var out []*Host
+	for _, h := range s.N.Hosts {
+		if h.running && !h.leaving {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
 // crash ends hosts; the fabric notices later.
 func (s *Scene) crash(hosts ...*Host) {
 	for _, h := range hosts {
--- a/internal/hsmatrix/host.go
+++ b/internal/hsmatrix/host.go
@@ -124,6 +124,11 @@
 	return 0
 }
 
+// Ready reports whether the host answers the fabric's health check.
+func (h *Host) Ready() bool {
+	return h.running && h.core != nil && !h.control.Waiting()
+}
+
 // Core returns the real decision core, or nil.
 func (h *Host) Core() *hshome.Core {
 	core, _ := h.core.(*hshome.Core)
--- a/internal/hsmatrix/scene.go
+++ b/internal/hsmatrix/scene.go
@@ -21,12 +21,12 @@
 		Focus   *hslab.Client
 		Tallies map[string]*hslab.Tally
 
-		seed     uint64
-		focusSeq int
-		ids      uint64
-		nextHost byte
-		nextT    byte
-		seen     seen
+		seed      uint64
+		ids       uint64
+		buildings int
+		nextHost  byte
+		nextT     byte
+		seen      seen
 	}
 
 	// seen says which steps of the watched connection have been reached.
@@ -88,8 +88,8 @@
 		},
 	}
 	s.N.Watch = s.watch
-	s.AddTargets("a")
-	s.AddHosts("a", 6)
+	s.AddTargets()
+	s.AddHosts(6)
 	s.Publish()
 	s.N.Run(settle)
 	s.SprayAll()
@@ -125,10 +125,11 @@
 	return list
 }
 
-// AddTargets adds and starts a building's targets.
-func (s *Scene) AddTargets(building string) {
-	before := len(s.Estate.Targets)
-	s.Estate.AddTargets(building, func() netip.Addr {
+// AddTargets adds and starts another building's targets and returns the number
+// of those before.
+func (s *Scene) AddTargets() (before int) {
+	before = len(s.Estate.Targets)
+	s.Estate.AddTargets(s.building(), func() netip.Addr {
 		s.nextT++
 		return netip.AddrFrom4([4]byte{127, 0, 1, s.nextT})
 	})
@@ -141,12 +142,19 @@
 		}
 		s.N.AddServer(t.Address, listens, s.Estate.Slots(t.Pool))
 	}
+	return before
 }
 
-// AddHosts adds and starts a building's entry hosts.
-func (s *Scene) AddHosts(building string, count int) []*Host {
+// building returns the name of another building.
+func (s *Scene) building() string {
+	s.buildings++
+	return string(rune('a' - 1 + s.buildings))
+}
+
+// AddHosts adds and starts another building's entry hosts.
+func (s *Scene) AddHosts(count int) []*Host {
 	before := len(s.Estate.Hosts)
-	s.Estate.AddHosts(building, count, func() netip.Addr {
+	s.Estate.AddHosts(s.building(), count, func() netip.Addr {
 		s.nextHost++
 		return netip.AddrFrom4([4]byte{127, 0, 0, s.nextHost})
 	})
@@ -170,27 +178,39 @@
 	s.N.Publish(m)
 }
 
-// SprayAll points the fabric at all hosts that run and are not leaving.
+// SprayAll points the fabric at all hosts that are ready and not leaving, as
+// its health checks do.
 func (s *Scene) SprayAll() {
 	s.N.Spray = nil
 	for _, h := range s.N.Hosts {
-		if h.running && !h.leaving {
+		if h.Ready() && !h.leaving {
 			s.N.Spray = append(s.N.Spray, h)
 		}
 	}
 }
 
-// Home returns the home of the watched flow's first choice.
+// Home returns the home of the watched flow's first choice, or some running
+// host if the flow or its home does not exist.
 func (s *Scene) Home() *Host {
+	some := s.N.Hosts[int(s.seed)%len(s.N.Hosts)]
 	key, ok := s.Focus.Flow()
-	any := s.N.Hosts[int(s.seed)%len(s.N.Hosts)]
-	if !ok {
-		return any
+	for _, h := range s.N.Hosts {
+		if !h.running {
+			continue
+		}
+		if !some.running {
+			some = h
+		}
+		v := h.control.View()
+		if v == nil || !ok {
+			continue
+		}
+		t := v.First(v.Service(hsflow.TCP, key.Service()), key.Hash())
+		if home := v.Targets[t].Home; home >= 0 && s.N.byHost[v.Hosts[home].Address].running {
+			return s.N.byHost[v.Hosts[home].Address]
+		}
 	}
-	v := any.control.View()
-	svc := v.Service(hsflow.TCP, key.Service())
-	t := v.First(svc, key.Hash())
-	return s.N.byHost[v.Hosts[v.Targets[t].Home].Address]
+	return some
 }
 
 // ZoneOf returns the hosts of a host's zone.
--- a/internal/hsrank/rank.go
+++ b/internal/hsrank/rank.go
@@ -4,7 +4,9 @@
 package hsrank
 
 import (
+	"cmp"
 	"math"
+	"slices"
 
 	"heatherstack.org/heatherstack/internal/hsmanifest"
 )
@@ -13,6 +15,9 @@
 	// generation is one generation of a service, grouped by availability zone.
 	generation struct {
 		zones []group
+		// True if it stands for an unknown past, so that every member may hold
+		// a flow and not only those that rank first.
+		guessed bool
 	}
 
 	// group holds the members of one availability zone.
@@ -34,7 +39,7 @@
 )
 
 // MaxCandidates bounds the candidates of one flow.
-const MaxCandidates = 12
+const MaxCandidates = 16
 
 // maxZones bounds the zones that one generation adds to the candidates.
 const maxZones = 4
@@ -128,6 +133,28 @@
 	return dst
 }
 
+// rankAll appends all members to dst, best score first.
+func (g *generation) rankAll(hash uint64, dst []int) []int {
+	type scored struct {
+		target int
+		score  float64
+	}
+	var all []scored
+	for i := range g.zones {
+		for j := range g.zones[i].members {
+			m := &g.zones[i].members[j]
+			all = append(all, scored{m.target, score(mix(hash, m.seed), m.weight)})
+		}
+	}
+	slices.SortFunc(all, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.target, b.target))
+	})
+	for _, s := range all {
+		dst = appendNew(dst, s.target)
+	}
+	return dst
+}
+
 func appendNew(dst []int, target int) []int {
 	for _, t := range dst {
 		if t == target {
@@ -140,10 +167,10 @@
 	return append(dst, target)
 }
 
-func newGeneration(v *View, members []hsmanifest.Member) generation {
-	g := generation{zones: make([]group, 0, len(v.Zones))}
+func newGeneration(v *View, from *hsmanifest.Generation) generation {
+	g := generation{zones: make([]group, 0, len(v.Zones)), guessed: from.Guessed()}
 	at := make(map[int]int, len(v.Zones))
-	for _, m := range members {
+	for _, m := range from.Members {
 		t, ok := v.byID[m.ID]
 		if !ok {
 			continue
--- a/internal/hsrank/view.go
+++ b/internal/hsrank/view.go
@@ -157,7 +157,7 @@
 // Choices appends to dst the targets that a new flow may be placed on, best
 // first. They are live, and in a zone that is reachable unless none is.
 func (v *View) Choices(s *Service, hash uint64, dst []int) []int {
-	if len(s.generations) == 0 {
+	if len(s.generations) == 0 || s.generations[0].guessed {
 		return dst
 	}
 	ranked := s.generations[0].rank(hash, dst)
@@ -175,7 +175,7 @@
 
 // First returns the first choice, or -1. It is the fast path of Choices.
 func (v *View) First(s *Service, hash uint64) int {
-	if len(s.generations) == 0 {
+	if len(s.generations) == 0 || s.generations[0].guessed {
 		return -1
 	}
 	g := &s.generations[0]
@@ -205,10 +205,23 @@
 
 // Candidates appends to dst the targets that may hold a flow, in the order in
 // which they are asked: the ranks of the newest generation, then of each older
-// one.
+// one, then whatever an unknown past allows.
 func (v *View) Candidates(s *Service, hash uint64, dst []int) []int {
+	dst = v.Known(s, hash, dst)
 	for i := range s.generations {
-		dst = s.generations[i].rank(hash, dst)
+		if s.generations[i].guessed {
+			dst = s.generations[i].rankAll(hash, dst)
+		}
+	}
+	return dst
+}
+
+// Known is Candidates without those of an unknown past.
+func (v *View) Known(s *Service, hash uint64, dst []int) []int {
+	for i := range s.generations {
+		if !s.generations[i].guessed {
+			dst = s.generations[i].rank(hash, dst)
+		}
 	}
 	return dst
 }
@@ -285,8 +298,9 @@
 		for _, t := range s.Targets {
 			out.serves[t] = true
 		}
-		for _, g := range v.History[s.Name] {
-			out.generations = append(out.generations, newGeneration(v, g.Members))
+		gens := v.History[s.Name]
+		for i := range gens {
+			out.generations = append(out.generations, newGeneration(v, &gens[i]))
 		}
 		if before != nil {
 			if old := before.Service(s.Proto, s.Address); old != nil {
