Detect a crashed host within a second and tell all

Cause: two hosts that had restarted kept forwarding to a crashed one for 2.4 s (): each host was probed only every 1.25 s by each other one, and the verdict travelled on later probes.

Change: two members are probed per interval, the host that suspects or decides tells all at once, suspicion lasts 400 ms (500 before), and members that start are told again who is not alive.

--- a/internal/hsmatrix/host.go
+++ b/internal/hsmatrix/host.go
@@ -49,7 +49,7 @@
 
 const (
 	probeInterval  = 250 * time.Millisecond
-	suspectTime    = 500 * time.Millisecond
+	suspectTime    = 400 * time.Millisecond
 	lease          = time.Second
 	reportInterval = 250 * time.Millisecond
 	quietAfter     = time.Second
--- a/internal/hsroster/message.go
+++ b/internal/hsroster/message.go
@@ -39,6 +39,7 @@
 	if hb.GetBoot() > m.boot {
 		m.boot = hb.GetBoot()
 		m.refute = 0
+		r.spreadAgain()
 	}
 	m.heard = now
 	m.version = hb.GetVersion()
@@ -58,6 +59,16 @@
 	}
 }
 
+// spreadAgain spreads anew what is known of members that are not alive, since
+// a member that has just started missed it and would take them for alive.
+func (r *Roster) spreadAgain() {
+	for _, m := range r.members {
+		if m.state != Alive {
+			m.spread = 0
+		}
+	}
+}
+
 // acked ends a probe, or passes the answer to an indirect one on.
 func (r *Roster) acked(now time.Time, hb *hsschema.Heartbeat) {
 	if about := hb.GetAbout(); about != "" {
@@ -104,7 +115,7 @@
 }
 
 func (r *Roster) rumor(now time.Time, m *member, rumor *hsschema.Rumor) {
-	fresh := now.Sub(m.heard) < r.cfg.Suspect
+	fresh := m.boot > 0 && now.Sub(m.heard) < r.cfg.Suspect
 	switch rumor.GetState() {
 	case hsschema.Rumor_STATE_ALIVE:
 		if rumor.GetRefute() > m.refute {
--- a/internal/hsroster/roster.go
+++ b/internal/hsroster/roster.go
@@ -117,6 +117,8 @@
 )
 
 const (
+	// fanout is the number of members probed per interval.
+	fanout = 2
 	// relayCount is the number of members asked to probe indirectly.
 	relayCount = 2
 	// maxRumors bounds the rumors of one heartbeat.
@@ -238,7 +240,9 @@
 	r.stepSuspects(now)
 	if now.Sub(r.probeAt) >= r.cfg.Probe {
 		r.probeAt = now
-		r.probeNext(now)
+		for range min(fanout, len(r.members)) {
+			r.probeNext(now)
+		}
 		r.probeDead()
 	}
 	for seq, rl := range r.relays {
@@ -308,7 +312,9 @@
 	}
 	slices.Sort(names)
 	for _, name := range names {
-		r.ping(now, name)
+		if r.members[name].state != Dead {
+			r.ping(now, name)
+		}
 	}
 }
 
@@ -350,14 +356,22 @@
 		return
 	}
 	r.set(now, m, Suspect)
+	r.tellAll(now)
 }
 
+// stepSuspects ends suspicions that nobody refuted. Who decides tells all, so
+// that the others need not find out themselves.
 func (r *Roster) stepSuspects(now time.Time) {
+	died := false
 	for _, m := range r.members {
 		if m.state == Suspect && now.Sub(m.since) >= r.cfg.Suspect {
 			r.set(now, m, Dead)
+			died = true
 		}
 	}
+	if died {
+		r.tellAll(now)
+	}
 }
 
 func (r *Roster) set(now time.Time, m *member, s State) {
