--- a/internal/hsentry/entry.go
+++ b/internal/hsentry/entry.go
@@ -28,6 +28,7 @@
 	"heatherstack.org/heatherstack/internal/hshome"
 	"heatherstack.org/heatherstack/internal/hsplatform"
 	"heatherstack.org/heatherstack/internal/hssettings"
+	"heatherstack.org/heatherstack/internal/hssocket"
 )
 
 type (
@@ -62,8 +63,8 @@
 		// Nil if there is no admin page.
 		admin net.Listener
 		// Batches of the data socket that the reader may fill, and that it filled.
-		free chan *batch
-		full chan *batch
+		free chan *hssocket.Batch
+		full chan *hssocket.Batch
 	}
 )
 
@@ -157,10 +158,10 @@
 
 func (e *Entry) open() error {
 	s := e.cfg.Settings
-	e.sockets.free = make(chan *batch, batches)
-	e.sockets.full = make(chan *batch, batches)
-	for range batches {
-		e.sockets.free <- newBatch()
+	e.sockets.free = make(chan *hssocket.Batch, hssocket.Batches)
+	e.sockets.full = make(chan *hssocket.Batch, hssocket.Batches)
+	for range hssocket.Batches {
+		e.sockets.free <- hssocket.NewBatch()
 	}
 	var err error
 	if e.sockets.data, err = listenUDP(netip.AddrPortFrom(s.Address, s.Data)); err != nil {
--- a/internal/hsentry/switch.go
+++ b/internal/hsentry/switch.go
@@ -13,6 +13,7 @@
 	"heatherstack.org/heatherstack/internal/hshome"
 	"heatherstack.org/heatherstack/internal/hskey"
 	"heatherstack.org/heatherstack/internal/hspacket"
+	"heatherstack.org/heatherstack/internal/hssocket"
 )
 
 type (
@@ -40,7 +41,7 @@
 	switcher struct {
 		e    *Entry
 		core *hshome.Core
-		out  *sender
+		out  *hssocket.Sender
 		ring *hskey.Ring
 		dec  hspacket.Decoder
 		pkt  hspacket.Packet
@@ -71,7 +72,7 @@
 )
 
 func (e *Entry) runReader(ctx context.Context) error {
-	return read(ctx, newBatchConn(e.sockets.data), e.sockets.free, e.sockets.full)
+	return hssocket.Read(ctx, hssocket.NewConn(e.sockets.data), e.sockets.free, e.sockets.full)
 }
 
 func (e *Entry) runSwitch(ctx context.Context) error {
@@ -82,7 +83,7 @@
 	now := time.Now()
 	s := &switcher{
 		e:       e,
-		out:     newSender(newBatchConn(e.sockets.data)),
+		out:     hssocket.NewSender(hssocket.NewConn(e.sockets.data)),
 		ring:    ring,
 		counts:  map[hscode.Code]uint64{},
 		paused:  true,
@@ -114,22 +115,22 @@
 
 // batch takes received datagrams. All outputs are flushed before the buffers
 // go back to the reader, since they alias them.
-func (s *switcher) batch(now time.Time, b *batch) {
+func (s *switcher) batch(now time.Time, b *hssocket.Batch) {
 	s.checkPause(now)
-	for i := range b.n {
-		m := &b.messages[i]
-		end := received + m.N
+	for i := range b.N {
+		m := &b.Messages[i]
+		end := hssocket.Received + m.N
 		from, _ := m.Addr.(*net.UDPAddr)
-		s.datagram(now, b.buffers[i][:end], from.AddrPort().Addr().Unmap())
+		s.datagram(now, b.Buffers[i][:end], from.AddrPort().Addr().Unmap())
 	}
-	s.out.flush()
+	s.out.Flush()
 }
 
 func (s *switcher) datagram(now time.Time, buf []byte, from netip.Addr) {
 	if s.core == nil {
 		return
 	}
-	code := s.dec.Decode(buf[received:], &s.pkt)
+	code := s.dec.Decode(buf[hssocket.Received:], &s.pkt)
 	if code != hscode.OK {
 		s.counts[code]++
 		return
@@ -137,7 +138,7 @@
 	if s.pkt.Steer.Kind == hspacket.KindNone {
 		s.traffic = now
 	}
-	if s.pkt.Steer.Kind.Control() && !s.genuine(buf[received:]) {
+	if s.pkt.Steer.Kind.Control() && !s.genuine(buf[hssocket.Received:]) {
 		return
 	}
 	if now.Before(s.stale) && s.pkt.Seg.Flags == 0 && !s.pkt.Steer.Kind.Control() {
@@ -175,7 +176,7 @@
 	case hshome.ToCaller:
 		s.send(set.Fabric, o, buf)
 	case hshome.Control:
-		s.out.send(netip.AddrPortFrom(o.Addr, set.Data), s.ring.Seal(hspacket.AppendControl(nil, &o.Steer)))
+		s.out.Send(netip.AddrPortFrom(o.Addr, set.Data), s.ring.Seal(hspacket.AppendControl(nil, &o.Steer)))
 	case hshome.Handover:
 		s.handOver(o)
 	}
@@ -191,7 +192,7 @@
 		copy(buf[at:], o.Data)
 	}
 	start := hspacket.Prepend(buf, at, &o.Steer)
-	s.out.send(to, buf[start:])
+	s.out.Send(to, buf[start:])
 }
 
 // handOver passes entries to the caller task. Should its queue be full, the
@@ -228,7 +229,7 @@
 	if v := m.input.View; v != nil {
 		s.leaving = v.Self >= 0 && !v.Hosts[v.Self].Takes
 	}
-	s.out.flush()
+	s.out.Flush()
 }
 
 func (s *switcher) setPaused(now time.Time, paused bool) {
@@ -251,7 +252,7 @@
 	}
 	s.input = hshome.Input{Kind: hshome.InTick}
 	s.step(now, nil)
-	s.out.flush()
+	s.out.Flush()
 	if now.Sub(s.reported) >= reportInterval {
 		s.reported = now
 		s.report(now)
@@ -290,7 +291,7 @@
 	for code, n := range s.counts {
 		st.Counts[code] += n
 	}
-	st.Counts[hscode.ProcessSend] += s.out.failed
+	st.Counts[hscode.ProcessSend] += s.out.Failed
 	if s.core == nil {
 		return st
 	}
--- a/internal/hsflow/key.go
+++ b/internal/hsflow/key.go
@@ -19,12 +19,18 @@
 	// are stored in their IPv6-mapped form, so a key never depends on the
 	// form that an address was written in.
 	Key [KeySize]byte
+
+	// Place is a service's address, port and protocol: the part of a key that
+	// is the same for all flows of a service.
+	Place [placeSize]byte
 )
 
 const (
 	// KeySize is the size of a key in bytes.
 	KeySize = 40
 
+	placeSize = 19
+
 	// TCP is protocol 6.
 	TCP Proto = 6
 	// UDP is protocol 17.
@@ -34,8 +40,8 @@
 // NewKey returns the key of a flow from caller to service.
 func NewKey(p Proto, caller, service netip.AddrPort) Key {
 	var k Key
-	src := caller.Addr().As16()
-	dst := service.Addr().As16()
+	src := as16(caller.Addr())
+	dst := as16(service.Addr())
 	copy(k[0:16], src[:])
 	copy(k[16:32], dst[:])
 	binary.BigEndian.PutUint16(k[32:34], caller.Port())
@@ -64,6 +70,20 @@
 	return addrPort(k[16:32], k[34:36])
 }
 
+// Place returns where the flow's service is.
+func (k *Key) Place() Place {
+	var p Place
+	copy(p[0:16], k[16:32])
+	copy(p[16:19], k[34:37])
+	return p
+}
+
+// NewPlace returns the place of a service.
+func NewPlace(p Proto, service netip.AddrPort) Place {
+	k := NewKey(p, netip.AddrPort{}, service)
+	return k.Place()
+}
+
 // String returns the flow as "tcp caller > service".
 func (k *Key) String() string {
 	return fmt.Sprintf("%s %s > %s", k.Proto(), k.Caller(), k.Service())
@@ -93,6 +113,14 @@
 	}
 }
 
+// as16 is Addr.As16 for an address that may be unset.
+func as16(a netip.Addr) [16]byte {
+	if !a.IsValid() {
+		return [16]byte{}
+	}
+	return a.As16()
+}
+
 func addrPort(addr, port []byte) netip.AddrPort {
 	a := netip.AddrFrom16([16]byte(addr)).Unmap()
 	return netip.AddrPortFrom(a, binary.BigEndian.Uint16(port))
--- a/internal/hshome/caller.go
+++ b/internal/hshome/caller.go
@@ -254,14 +254,14 @@
 // exact takes a caller's packet from a host that holds the flow as an
 // exception, or that tries it on a target homed here.
 func (c *Core) exact(p *hspacket.Packet, via netip.Addr) {
-	s := c.view.Service(p.Proto, p.Dst)
+	x := newContext(p)
+	s := c.view.Service(x.key.Place())
 	at, ok := c.view.TargetByID(hsmanifest.TargetID(p.Steer.Target))
 	if s == nil || !ok || !s.Serves(at) {
 		c.count(hscode.FlowForeign)
 		return
 	}
 	n := c.ofView[at]
-	x := newContext(p)
 	f := c.flows.Get(&x.key, x.hash)
 	if f != nil && f.known() && (!p.Seg.Opens() || !f.reusable()) && !c.refuted(f, n, p, via) {
 		if f.target != n || p.Steer.Kind == hspacket.KindTry {
--- /dev/null
+++ b/internal/hshome/core_test.go
@@ -0,0 +1,205 @@
+package hshome
+
+import (
+	"fmt"
+	"net/netip"
+	"runtime"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"heatherstack.org/heatherstack/internal/hsflow"
+	"heatherstack.org/heatherstack/internal/hsmanifest"
+	"heatherstack.org/heatherstack/internal/hspacket"
+	"heatherstack.org/heatherstack/internal/hsrank"
+)
+
+var (
+	start   = time.Unix(1_000_000, 0)
+	service = netip.MustParseAddrPort("198.51.100.1:443")
+	from    = netip.MustParseAddr("127.0.9.9")
+)
+
+// newCore returns the core of the first of n entry hosts, before 15 targets in
+// one zone.
+func newCore(t testing.TB, n int) *Core {
+	t.Helper()
+	m := &hsmanifest.Manifest{Version: 1}
+	status := map[string]hsrank.Status{}
+	for i := range n {
+		name := fmt.Sprintf("h%d", i)
+		m.Hosts = append(m.Hosts, hsmanifest.Host{Name: name, Zone: "a", Address: netip.AddrFrom4([4]byte{127, 0, 0, byte(i + 1)})})
+		status[name] = hsrank.Status{Alive: true}
+	}
+	s := hsmanifest.Service{Name: "s", Address: service, Proto: hsflow.TCP}
+	for i := range 15 {
+		addr := netip.AddrFrom4([4]byte{127, 0, 1, byte(i + 1)})
+		name := fmt.Sprintf("t%02d", i)
+		m.Targets = append(m.Targets, hsmanifest.Target{
+			ID: hsmanifest.NewTargetID(name, addr), Name: name, Address: addr, Zone: "a",
+			Slots: 3, Connections: 1 << 20, Weight: 3,
+		})
+		s.Targets = append(s.Targets, i)
+	}
+	m.Services = []hsmanifest.Service{s}
+	v := hsrank.NewView(hsrank.Config{
+		Manifest: m, History: hsmanifest.History{}.Extend(m), Self: "h0", Members: status,
+	})
+	return New(Config{MaxFlows: 1 << 21, Idle: time.Hour, Start: start, View: v})
+}
+
+func caller(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)}), 4000)
+}
+
+func segment(i int, f hspacket.Flags) *hspacket.Packet {
+	return &hspacket.Packet{
+		Proto: hsflow.TCP, Src: caller(i), Dst: service, Inner: make([]byte, 60),
+		Seg: hspacket.Segment{Flags: f, Seq: 1, Ack: 1},
+	}
+}
+
+func step(c *Core, now time.Time, p *hspacket.Packet, from netip.Addr) []Output {
+	return c.Step(now, &Input{Kind: InPacket, Packet: p, From: from}, nil)
+}
+
+// handshake runs the handshake of flow i and returns the target's address.
+func handshake(c *Core, i int) netip.Addr {
+	out := step(c, start, segment(i, hspacket.SYN), from)
+	target := out[0].Addr
+	reply := &hspacket.Packet{
+		Proto: hsflow.TCP, Src: service, Dst: caller(i), Inner: make([]byte, 60),
+		Seg: hspacket.Segment{Flags: hspacket.SYN | hspacket.ACK, Seq: 0, Ack: 2},
+	}
+	step(c, start, reply, target)
+	step(c, start, segment(i, hspacket.ACK), from)
+	return target
+}
+
+// TestOpenSticks checks that a flow's packets all reach the target that took
+// its SYN, and that a full table refuses truthfully.
+func TestOpenSticks(t *testing.T) {
+	c := newCore(t, 1)
+	for i := range 500 {
+		target := handshake(c, i)
+		out := step(c, start, segment(i, hspacket.ACK|hspacket.PSH), from)
+		assert.Equal(t, len(out), 1)
+		assert.Equal(t, out[0].Kind, ToTarget)
+		assert.Equal(t, out[0].Addr, target)
+	}
+	c.cfg.MaxFlows = 500
+	out := step(c, start, segment(500, hspacket.SYN), from)
+	assert.Equal(t, len(out), 1)
+	assert.Equal(t, out[0].Kind, ToCaller)
+}
+
+// TestForeignReply checks that a target cannot speak for a service that it
+// does not serve.
+func TestForeignReply(t *testing.T) {
+	c := newCore(t, 1)
+	target := handshake(c, 1)
+	p := &hspacket.Packet{
+		Proto: hsflow.TCP, Src: netip.MustParseAddrPort("198.51.100.9:443"), Dst: caller(1), Inner: make([]byte, 60),
+		Seg: hspacket.Segment{Flags: hspacket.ACK, Seq: 1, Ack: 2},
+	}
+	assert.Equal(t, len(step(c, start, p, target)), 0)
+}
+
+// TestUnknownSender checks that steering words of strangers are dropped.
+func TestUnknownSender(t *testing.T) {
+	c := newCore(t, 2)
+	p := segment(1, hspacket.SYN)
+	p.Steer = hspacket.Steer{Kind: hspacket.KindForward, Target: uint64(c.view.Targets[0].ID)}
+	assert.Equal(t, len(step(c, start, p, from)), 0)
+}
+
+// TestPausedPlacesNothing checks that a process that was paused keeps old
+// flows going and places no new one.
+func TestPausedPlacesNothing(t *testing.T) {
+	c := newCore(t, 1)
+	target := handshake(c, 1)
+	c.Step(start, &Input{Kind: InPause}, nil)
+	assert.Equal(t, len(step(c, start, segment(2, hspacket.SYN), from)), 0)
+	assert.Equal(t, step(c, start, segment(1, hspacket.ACK|hspacket.PSH), from)[0].Addr, target)
+	c.Step(start, &Input{Kind: InResume}, nil)
+	assert.Equal(t, len(step(c, start, segment(2, hspacket.SYN), from)), 1)
+}
+
+// TestBalance checks the stated bounds of imbalance.
+func TestBalance(t *testing.T) {
+	for _, c := range []struct {
+		flows int
+		bound float64
+	}{{1500, 1.10}, {30_000, 1.02}} {
+		core := newCore(t, 1)
+		for i := range c.flows {
+			handshake(core, i)
+		}
+		largest := 0
+		for _, l := range core.Loads(nil) {
+			largest = max(largest, l.Flows)
+		}
+		ratio := float64(largest) * 15 / float64(c.flows)
+		assert.Check(t, ratio <= c.bound, "%d flows: %.3f", c.flows, ratio)
+	}
+}
+
+// TestFlowMemory checks the stated bound of memory per flow.
+func TestFlowMemory(t *testing.T) {
+	const n = 500_000
+	c := newCore(t, 1)
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	for i := range n {
+		k := hsflow.NewKey(hsflow.TCP, caller(i), service)
+		f := c.flows.Put(&k, k.Hash())
+		*f = newFlow(0, hsflow.TCP)
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	bytes := float64(after.HeapAlloc-before.HeapAlloc) / n
+	t.Logf("%.1f bytes per flow", bytes)
+	assert.Check(t, bytes <= 128, "%.1f", bytes)
+	runtime.KeepAlive(c)
+}
+
+func BenchmarkHome(b *testing.B) {
+	const held = 500_000
+	c := newCore(b, 1)
+	for i := range held {
+		handshake(c, i)
+	}
+	packets := make([]*hspacket.Packet, 4096)
+	for i := range packets {
+		packets[i] = segment(i*(held/len(packets)), hspacket.ACK|hspacket.PSH)
+	}
+	benchSteps(b, c, packets)
+}
+
+func BenchmarkIngress(b *testing.B) {
+	c := newCore(b, 6)
+	packets := make([]*hspacket.Packet, 0, 4096)
+	for i := 0; len(packets) < cap(packets); i++ {
+		p := segment(i, hspacket.ACK|hspacket.PSH)
+		key := p.Key()
+		if t := c.view.First(c.view.Service(key.Place()), key.Hash()); c.view.Targets[t].Home != 0 {
+			packets = append(packets, p)
+		}
+	}
+	benchSteps(b, c, packets)
+}
+
+func benchSteps(b *testing.B, c *Core, packets []*hspacket.Packet) {
+	b.Helper()
+	in := Input{Kind: InPacket, From: from}
+	var out []Output
+	n := 0
+	b.ReportAllocs()
+	for b.Loop() {
+		in.Packet = packets[n%len(packets)]
+		out = c.Step(start, &in, out[:0])
+		n++
+	}
+}
--- a/internal/hshome/ingress.go
+++ b/internal/hshome/ingress.go
@@ -50,12 +50,12 @@
 // ingressCaller ranks the packet's flow and passes it to the home of its first
 // choice.
 func (c *Core) ingressCaller(p *hspacket.Packet, hops uint8) {
-	s := c.view.Service(p.Proto, p.Dst)
+	x := newContext(p)
+	s := c.view.Service(x.key.Place())
 	if s == nil {
 		c.count(hscode.FlowNoService)
 		return
 	}
-	x := newContext(p)
 	first := c.view.First(s, x.hash)
 	if first < 0 {
 		c.refuse(&x, hscode.FlowNoTarget)
@@ -83,12 +83,12 @@
 // circles; only a target that is not listed here, or takes no new flows any
 // more, is ranked again, and the hop count bounds that.
 func (c *Core) forwarded(p *hspacket.Packet) {
-	s := c.view.Service(p.Proto, p.Dst)
+	x := newContext(p)
+	s := c.view.Service(x.key.Place())
 	if s == nil {
 		c.count(hscode.FlowNoService)
 		return
 	}
-	x := newContext(p)
 	first, ok := c.view.TargetByID(hsmanifest.TargetID(p.Steer.Target))
 	held := c.flows.Get(&x.key, x.hash) != nil
 	if !ok || !s.Serves(first) || (!held && !c.view.Targets[first].Live) {
--- a/internal/hshome/recover.go
+++ b/internal/hshome/recover.go
@@ -91,7 +91,7 @@
 			continue
 		}
 		f := c.flows.Get(&w.key, w.key.Hash())
-		s := c.view.Service(w.key.Proto(), w.key.Service())
+		s := c.view.Service(w.key.Place())
 		if f == nil || s == nil {
 			c.giveUp(w, hscode.FlowNoService)
 			continue
@@ -175,7 +175,7 @@
 func (c *Core) asked(p *hspacket.Packet, via netip.Addr) {
 	key := p.Steer.Flow
 	f := c.flows.Get(&key, key.Hash())
-	s := c.view.Service(key.Proto(), key.Service())
+	s := c.view.Service(key.Place())
 	if s != nil && f != nil && c.claims(f, s, p) {
 		c.Stats.Claims++
 		c.control(via, hspacket.Steer{Kind: hspacket.KindClaim, Target: uint64(c.targets[f.target].id), Flow: key})
@@ -228,7 +228,7 @@
 // claimed takes the answer that a flow belongs to a target.
 func (c *Core) claimed(p *hspacket.Packet) {
 	key := p.Steer.Flow
-	s := c.view.Service(key.Proto(), key.Service())
+	s := c.view.Service(key.Place())
 	at, ok := c.view.TargetByID(hsmanifest.TargetID(p.Steer.Target))
 	f := c.flows.Get(&key, key.Hash())
 	if s == nil || !ok || !s.Serves(at) || f == nil {
@@ -323,7 +323,7 @@
 func (c *Core) decide(w *wait) {
 	hash := w.key.Hash()
 	f := c.flows.Get(&w.key, hash)
-	s := c.view.Service(w.key.Proto(), w.key.Service())
+	s := c.view.Service(w.key.Place())
 	if f == nil || s == nil || len(w.cands) == 0 {
 		c.giveUp(w, hscode.FlowNoTarget)
 		return
--- a/internal/hshome/reply.go
+++ b/internal/hshome/reply.go
@@ -8,14 +8,14 @@
 
 // fromTarget takes a packet that target at sent, as the target's home.
 func (c *Core) fromTarget(p *hspacket.Packet, at int) {
-	s := c.view.Service(p.Proto, p.Src)
+	key := p.ReplyKey()
+	s := c.view.Service(key.Place())
 	if s == nil || !s.Serves(at) {
 		c.count(hscode.FlowForeign)
 		return
 	}
 	n := c.ofView[at]
 	c.targets[n].heard = c.now
-	key := p.ReplyKey()
 	hash := key.Hash()
 	f := c.flows.Get(&key, hash)
 	if f == nil {
--- a/internal/hshome/sweep.go
+++ b/internal/hshome/sweep.go
@@ -123,7 +123,7 @@
 }
 
 func (c *Core) takeEntry(e *Entry, n uint32) {
-	s := c.view.Service(e.Flow.Proto(), e.Flow.Service())
+	s := c.view.Service(e.Flow.Place())
 	if s == nil || !s.Serves(c.targets[n].at) {
 		return
 	}
--- a/internal/hslab/commands.go
+++ b/internal/hslab/commands.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"os"
@@ -13,8 +14,17 @@
 type (
 	// Commands are the subcommands of hslab.
 	Commands struct {
-		out  io.Writer
-		demo demoFlags
+		out   io.Writer
+		demo  demoFlags
+		relay relayFlags
+	}
+
+	relayFlags struct {
+		command  *kingpin.CmdClause
+		duration *time.Duration
+		turns    *int
+		size     *int
+		net      *uint8
 	}
 
 	demoFlags struct {
@@ -53,6 +63,14 @@
 		log:      d.Flag("log", "Write the entry hosts' logs to standard error.").Bool(),
 		net:      d.Flag("net", "Second byte of the loopback addresses in use; 0 takes it from the process id.").Default("0").Uint8(),
 	}
+	r := app.Command("relay", "Measure one hop of the data path beside a bare UDP forwarder.")
+	c.relay = relayFlags{
+		command:  r,
+		duration: r.Flag("duration", "Length of each turn.").Default("2s").Duration(),
+		turns:    r.Flag("turns", "Turns of each.").Default("3").Int(),
+		size:     r.Flag("size", "Bytes of payload.").Default("64").Int(),
+		net:      r.Flag("net", "Second byte of the loopback addresses in use; 0 takes it from the process id.").Default("0").Uint8(),
+	}
 	return c
 }
 
@@ -61,11 +79,24 @@
 	switch command {
 	case c.demo.command.FullCommand():
 		return c.runDemo(ctx)
+	case c.relay.command.FullCommand():
+		return c.runRelay(ctx)
 	default:
 		return exitError
 	}
 }
 
+func (c *Commands) runRelay(ctx context.Context) int {
+	f := &c.relay
+	r, err := Relay(ctx, RelayConfig{Duration: *f.duration, Turns: *f.turns, Net: netByte(*f.net), Size: *f.size})
+	if err != nil {
+		_, _ = fmt.Fprintln(os.Stderr, "hslab:", err)
+		return exitError
+	}
+	_ = json.NewEncoder(c.out).Encode(r)
+	return exitKept
+}
+
 func (c *Commands) runDemo(ctx context.Context) int {
 	f := &c.demo
 	cfg := DemoConfig{Seed: *f.seed, Duration: *f.duration, Scale: *f.scale, Net: netByte(*f.net), Report: c.reporter(*f.json)}
@@ -84,8 +115,8 @@
 	return exitKept
 }
 
-func (c *Commands) reporter(json bool) Reporter {
-	if json {
+func (c *Commands) reporter(asJSON bool) Reporter {
+	if asJSON {
 		return &JSONReporter{W: c.out}
 	}
 	return &TextReporter{W: c.out}
--- /dev/null
+++ b/internal/hslab/relay.go
@@ -0,0 +1,242 @@
+package hslab
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+	"golang.org/x/sync/errgroup"
+
+	"heatherstack.org/heatherstack/internal/hsflow"
+	"heatherstack.org/heatherstack/internal/hspacket"
+	"heatherstack.org/heatherstack/internal/hssocket"
+)
+
+type (
+	// RelayConfig holds the settings of the relay measurement.
+	RelayConfig struct {
+		// Length of each turn.
+		Duration time.Duration
+		// Turns of each of the two.
+		Turns int
+		Net   uint8
+		// Bytes of payload in each packet.
+		Size int
+	}
+
+	// RelayResult is the outcome of the relay measurement.
+	RelayResult struct {
+		Kind string `json:"kind"`
+		Size int    `json:"size"`
+		// Packets per second that arrived, best turn.
+		Bare  float64 `json:"bare"`
+		Entry float64 `json:"entry"`
+		// Entry over bare.
+		Ratio float64 `json:"ratio"`
+		// Processor time of the whole process per packet, nanoseconds; the
+		// generator and the sink are part of both.
+		BareCPU  float64 `json:"bareCPU"`
+		EntryCPU float64 `json:"entryCPU"`
+	}
+
+	// relay measures one hop of the real data path beside a bare forwarder.
+	relay struct {
+		cfg  RelayConfig
+		w    *World
+		sink *net.UDPConn
+		// Packets that arrived.
+		arrived atomic.Uint64
+	}
+)
+
+const (
+	relayFlows  = 256
+	relayWarmUp = 500 * time.Millisecond
+)
+
+// Relay measures both in turn and returns the better turn of each.
+func Relay(ctx context.Context, cfg RelayConfig) (RelayResult, error) {
+	estate := &Estate{
+		Pools:    []PoolPlan{{Name: "desk", Targets: 1, Slots: 1, Connections: 1 << 20}},
+		Services: Services()[:1],
+	}
+	w, err := NewWorld(ctx, WorldConfig{Estate: estate, Seed: 1, Net: cfg.Net, Scale: 1})
+	if err != nil {
+		return RelayResult{}, errors.Trace(err)
+	}
+	r := &relay{cfg: cfg, w: w}
+	result, err := r.run(w.ctx, estate)
+	if closeErr := w.Close(); err == nil {
+		err = closeErr
+	}
+	return result, errors.Trace(err)
+}
+
+func (r *relay) run(ctx context.Context, estate *Estate) (RelayResult, error) {
+	estate.AddTargets("a", r.w.NextTarget)
+	estate.AddHosts("a", 1, r.w.NextHost)
+	sink, err := r.w.listen(netip.AddrPortFrom(estate.Targets[0].Address, GenevePort))
+	if err != nil {
+		return RelayResult{}, errors.Trace(err)
+	}
+	r.sink = sink
+	defer func() { _ = sink.Close() }()
+	r.w.g.Go(r.runSink)
+	bareAddr := netip.AddrPortFrom(r.w.NextHost(), GenevePort)
+	if err := r.startBare(bareAddr, netip.AddrPortFrom(estate.Targets[0].Address, GenevePort)); err != nil {
+		return RelayResult{}, errors.Trace(err)
+	}
+	if err := r.w.StartEntry(estate.Hosts[0]); err != nil {
+		return RelayResult{}, errors.Trace(err)
+	}
+	version, err := r.w.Publish()
+	if err != nil {
+		return RelayResult{}, errors.Trace(err)
+	}
+	if _, err := r.w.AwaitVersion(ctx, version); err != nil {
+		return RelayResult{}, errors.Trace(err)
+	}
+	return r.measure(ctx, bareAddr, netip.AddrPortFrom(estate.Hosts[0].Address, GenevePort))
+}
+
+func (r *relay) measure(ctx context.Context, bare, entry netip.AddrPort) (RelayResult, error) {
+	out := RelayResult{Kind: "relay", Size: r.cfg.Size}
+	for range r.cfg.Turns {
+		rate, cpu, err := r.turn(ctx, bare)
+		if err != nil {
+			return out, err
+		}
+		if rate > out.Bare {
+			out.Bare, out.BareCPU = rate, cpu
+		}
+		if rate, cpu, err = r.turn(ctx, entry); err != nil {
+			return out, err
+		}
+		if rate > out.Entry {
+			out.Entry, out.EntryCPU = rate, cpu
+		}
+	}
+	out.Ratio = out.Entry / out.Bare
+	return out, nil
+}
+
+// turn floods one forwarder and returns the packets per second that arrived
+// and the processor time per packet in nanoseconds.
+func (r *relay) turn(ctx context.Context, to netip.AddrPort) (rate, cpu float64, err error) {
+	ctx, cancel := context.WithTimeout(ctx, relayWarmUp+r.cfg.Duration)
+	defer cancel()
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return r.generate(ctx, to) })
+	if err := pause(ctx, relayWarmUp); err != nil {
+		return 0, 0, err
+	}
+	before, cpuBefore, start := r.arrived.Load(), cpuTime(), time.Now()
+	<-ctx.Done()
+	n := float64(r.arrived.Load() - before)
+	cpu = float64(cpuTime()-cpuBefore) / max(n, 1)
+	rate = n / time.Since(start).Seconds()
+	return rate, cpu, g.Wait()
+}
+
+// generate sends packets of open flows as fast as the socket takes them.
+func (r *relay) generate(ctx context.Context, to netip.AddrPort) error {
+	out := hssocket.NewSender(hssocket.NewConn(r.w.gateway))
+	packets, err := r.packets(hspacket.SYN)
+	if err != nil {
+		return err
+	}
+	for _, p := range packets {
+		out.Send(to, p)
+	}
+	out.Flush()
+	if packets, err = r.packets(hspacket.ACK); err != nil {
+		return err
+	}
+	for ctx.Err() == nil {
+		for _, p := range packets {
+			out.Send(to, p)
+		}
+		out.Flush()
+	}
+	return nil
+}
+
+func (r *relay) packets(f hspacket.Flags) ([][]byte, error) {
+	script := r.w.cfg.Estate.Services[0].Script
+	var out [][]byte
+	for i := range relayFlows {
+		s := hspacket.Spec{
+			Proto: hsflow.TCP,
+			Src:   netip.AddrPortFrom(callerAddr(true, i), firstPort),
+			Dst:   script.Service,
+			Seg:   hspacket.Segment{Flags: f, Seq: 1},
+		}
+		if f == hspacket.ACK {
+			// Without ACK bit: the sink never answers, and the home must take
+			// the segments for those of an opening flow.
+			s.Seg.Flags = hspacket.PSH
+			s.Payload = make([]byte, r.cfg.Size)
+		}
+		inner, err := hspacket.Write(s)
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		buf := make([]byte, hspacket.Headroom+len(inner))
+		copy(buf[hspacket.Headroom:], inner)
+		out = append(out, buf[hspacket.Prepend(buf, hspacket.Headroom, &hspacket.Steer{}):])
+	}
+	return out, nil
+}
+
+func (r *relay) runSink() error {
+	conn := hssocket.NewConn(r.sink)
+	b := hssocket.NewBatch()
+	for {
+		n, err := conn.ReadBatch(b.Messages, 0)
+		if err != nil {
+			return nil
+		}
+		r.arrived.Add(uint64(n))
+	}
+}
+
+// startBare starts a forwarder that does nothing but read and write batches.
+func (r *relay) startBare(at, to netip.AddrPort) error {
+	conn, err := r.w.listen(at)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	r.w.g.Go(func() error {
+		<-r.w.ctx.Done()
+		return errors.Trace(conn.Close())
+	})
+	r.w.g.Go(func() error {
+		batched := hssocket.NewConn(conn)
+		out := hssocket.NewSender(batched)
+		b := hssocket.NewBatch()
+		for {
+			n, err := batched.ReadBatch(b.Messages, 0)
+			if err != nil {
+				return nil
+			}
+			for i := range n {
+				out.Send(to, b.Buffers[i][hssocket.Received:hssocket.Received+b.Messages[i].N])
+			}
+			out.Flush()
+		}
+	})
+	return nil
+}
+
+// cpuTime returns the processor time of this process.
+func cpuTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- a/internal/hsmatrix/net.go
+++ b/internal/hsmatrix/net.go
@@ -106,9 +106,7 @@
 func (n *Net) Run(d time.Duration) {
 	end := n.Now.Add(d)
 	for len(n.events) > 0 && !n.events[0].at.After(end) {
-		e := heap.Pop(&n.events).(event)
-		n.Now = e.at
-		e.run()
+		n.step()
 	}
 	n.Now = end
 }
@@ -121,13 +119,19 @@
 		if len(n.events) == 0 || n.events[0].at.After(end) {
 			return false
 		}
-		e := heap.Pop(&n.events).(event)
-		n.Now = e.at
-		e.run()
+		n.step()
 	}
 	return true
 }
 
+// step takes the next event.
+func (n *Net) step() {
+	e := n.events[0]
+	heap.Pop(&n.events)
+	n.Now = e.at
+	e.run()
+}
+
 // AddClient adds a caller.
 func (n *Net) AddClient(cfg hslab.ClientConfig, start time.Duration) *hslab.Client {
 	c := hslab.NewClient(cfg, n.Now.Add(start))
@@ -305,7 +309,11 @@
 func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
 
 // Push implements heap.Interface.
-func (q *queue) Push(x any) { *q = append(*q, x.(event)) }
+func (q *queue) Push(x any) {
+	if e, ok := x.(event); ok {
+		*q = append(*q, e)
+	}
+}
 
 // Pop implements heap.Interface.
 func (q *queue) Pop() any {
--- a/internal/hsmatrix/scene.go
+++ b/internal/hsmatrix/scene.go
@@ -205,7 +205,7 @@
 		if v == nil || !ok {
 			continue
 		}
-		t := v.First(v.Service(hsflow.TCP, key.Service()), key.Hash())
+		t := v.First(v.Service(key.Place()), key.Hash())
 		if home := v.Targets[t].Home; home >= 0 && s.N.byHost[v.Hosts[home].Address].running {
 			return s.N.byHost[v.Hosts[home].Address]
 		}
--- a/internal/hsrank/home.go
+++ b/internal/hsrank/home.go
@@ -84,7 +84,7 @@
 			continue
 		}
 		host := &before.Hosts[before.Targets[old].Home]
-		n, listed := v.byHost[host.Address]
+		n, listed := v.byHost[host.Address.As16()]
 		if listed && n != t.Home {
 			t.Before = n
 			continue
@@ -92,7 +92,7 @@
 		// An unchanged home keeps the note of an earlier move, so that a second
 		// change soon after does not hide who still has the flows.
 		if earlier := before.Targets[old].Before; earlier >= 0 {
-			if m, ok := v.byHost[before.Hosts[earlier].Address]; ok && m != t.Home {
+			if m, ok := v.byHost[before.Hosts[earlier].Address.As16()]; ok && m != t.Home {
 				t.Before = m
 			}
 		}
--- a/internal/hsrank/rank.go
+++ b/internal/hsrank/rank.go
@@ -15,6 +15,8 @@
 	// generation is one generation of a service, grouped by availability zone.
 	generation struct {
 		zones []group
+		// True if all zones weigh the same.
+		even bool
 		// True if it stands for an unknown past, so that every member may hold
 		// a flow and not only those that rank first.
 		guessed bool
@@ -27,6 +29,8 @@
 		seed    uint64
 		weight  uint32
 		members []member
+		// True if all members weigh the same.
+		even bool
 	}
 
 	// member is a target in a generation.
@@ -64,8 +68,11 @@
 	return float64(weight) / -math.Log(u)
 }
 
-// top returns the index of the highest-scored member other than skip, or -1.
+// top returns the highest-scored member other than skip, or -1.
 func (g *group) top(hash uint64, skip int) int {
+	if g.even {
+		return g.topEven(hash, skip)
+	}
 	best := -1
 	bestScore := -1.0
 	for i := range g.members {
@@ -84,12 +91,54 @@
 	return g.members[best].target
 }
 
+// topEven is top for equal weights, where the scores are in the order of the
+// hashes and no logarithm is needed.
+func (g *group) topEven(hash uint64, skip int) int {
+	best := -1
+	var bestHash uint64
+	for i := range g.members {
+		m := &g.members[i]
+		if h := mix(hash, m.seed); m.target != skip && (best < 0 || h>>11 > bestHash>>11) {
+			best = m.target
+			bestHash = h
+		}
+	}
+	return best
+}
+
+// firstZone returns the index of the highest-scored reachable zone, or -1.
+func (g *generation) firstZone(hash uint64, reachable []bool) int {
+	best := -1
+	bestScore := -1.0
+	for i := range g.zones {
+		z := &g.zones[i]
+		if !reachable[z.zone] {
+			continue
+		}
+		s := g.zoneScore(z, hash)
+		if s > bestScore {
+			best = i
+			bestScore = s
+		}
+	}
+	return best
+}
+
+// zoneScore returns a zone's score, or something in the same order.
+func (g *generation) zoneScore(z *group, hash uint64) float64 {
+	h := mix(hash, z.seed)
+	if g.even {
+		return float64(h >> 11)
+	}
+	return score(h, z.weight)
+}
+
 // order writes the indices of the best n zones into dst, best first.
 func (g *generation) order(hash uint64, dst []int) []int {
 	var scores [maxZones]float64
 	for i := range g.zones {
 		z := &g.zones[i]
-		s := score(mix(hash, z.seed), z.weight)
+		s := g.zoneScore(z, hash)
 		dst = insert(dst, scores[:], i, s)
 	}
 	return dst
@@ -185,5 +234,18 @@
 		g.zones[i].members = append(g.zones[i].members, member{target: t, seed: mix(uint64(m.ID), 0), weight: m.Weight})
 		g.zones[i].weight += m.Weight
 	}
+	g.compareWeights()
 	return g
 }
+
+func (g *generation) compareWeights() {
+	g.even = true
+	for i := range g.zones {
+		z := &g.zones[i]
+		g.even = g.even && z.weight == g.zones[0].weight
+		z.even = true
+		for j := range z.members {
+			z.even = z.even && z.members[j].weight == z.members[0].weight
+		}
+	}
+}
--- a/internal/hsrank/view.go
+++ b/internal/hsrank/view.go
@@ -28,9 +28,9 @@
 		Self int
 
 		byID     map[hsmanifest.TargetID]int
-		byTarget map[netip.Addr]int
-		byHost   map[netip.Addr]int
-		byPlace  map[place]int
+		byTarget map[[16]byte]int
+		byHost   map[[16]byte]int
+		byPlace  map[hsflow.Place]int
 		// Per zone, whether an entry host of it is believed alive, or none is
 		// listed, so that nothing speaks against its targets.
 		reachable []bool
@@ -75,7 +75,8 @@
 
 		// Newest first.
 		generations []generation
-		serves      map[int]bool
+		// Indices into View.Targets, rising.
+		serves []int
 	}
 
 	// Status is what membership holds about one entry host.
@@ -95,11 +96,6 @@
 		// View that the new one replaces; may be nil.
 		Before *View
 	}
-
-	place struct {
-		address netip.AddrPort
-		proto   hsflow.Proto
-	}
 )
 
 // NewView returns the view that follows from cfg.
@@ -110,9 +106,9 @@
 		History:  cfg.History,
 		Self:     -1,
 		byID:     make(map[hsmanifest.TargetID]int, len(m.Targets)),
-		byTarget: make(map[netip.Addr]int, len(m.Targets)),
-		byHost:   make(map[netip.Addr]int, len(m.Hosts)),
-		byPlace:  make(map[place]int, len(m.Services)),
+		byTarget: make(map[[16]byte]int, len(m.Targets)),
+		byHost:   make(map[[16]byte]int, len(m.Hosts)),
+		byPlace:  make(map[hsflow.Place]int, len(m.Services)),
 	}
 	v.zones()
 	v.hosts(cfg)
@@ -122,9 +118,9 @@
 	return v
 }
 
-// Service returns the service at an address and protocol, or nil.
-func (v *View) Service(p hsflow.Proto, address netip.AddrPort) *Service {
-	n, ok := v.byPlace[place{address, p}]
+// Service returns the service at a place, or nil.
+func (v *View) Service(at hsflow.Place) *Service {
+	n, ok := v.byPlace[at]
 	if !ok {
 		return nil
 	}
@@ -133,7 +129,7 @@
 
 // TargetAt returns the index of the target at an address.
 func (v *View) TargetAt(a netip.Addr) (int, bool) {
-	n, ok := v.byTarget[a]
+	n, ok := v.byTarget[a.As16()]
 	return n, ok
 }
 
@@ -145,13 +141,14 @@
 
 // HostAt returns the index of the entry host at an address.
 func (v *View) HostAt(a netip.Addr) (int, bool) {
-	n, ok := v.byHost[a]
+	n, ok := v.byHost[a.As16()]
 	return n, ok
 }
 
 // Serves reports whether the target is listed for the service, live or leaving.
 func (s *Service) Serves(target int) bool {
-	return s.serves[target]
+	_, ok := slices.BinarySearch(s.serves, target)
+	return ok
 }
 
 // Choices appends to dst the targets that a new flow may be placed on, best
@@ -179,18 +176,7 @@
 		return -1
 	}
 	g := &s.generations[0]
-	best := -1
-	bestScore := -1.0
-	for i := range g.zones {
-		z := &g.zones[i]
-		if !v.reachable[z.zone] {
-			continue
-		}
-		if s := score(mix(hash, z.seed), z.weight); s > bestScore {
-			best = i
-			bestScore = s
-		}
-	}
+	best := g.firstZone(hash, v.reachable)
 	if best >= 0 {
 		if t := g.zones[best].top(hash, -1); v.Targets[t].Live {
 			return t
@@ -259,7 +245,7 @@
 		}
 		listed[out.Zone] = true
 		v.reachable[out.Zone] = v.reachable[out.Zone] || out.Alive
-		v.byHost[h.Address] = i
+		v.byHost[h.Address.As16()] = i
 		v.Hosts = append(v.Hosts, out)
 	}
 	for zone := range v.reachable {
@@ -281,7 +267,7 @@
 			Before:      -1,
 		})
 		v.byID[t.ID] = i
-		v.byTarget[t.Address] = i
+		v.byTarget[t.Address.As16()] = i
 	}
 }
 
@@ -293,21 +279,19 @@
 			Proto:      s.Proto,
 			Address:    s.Address,
 			Idempotent: s.Idempotent,
-			serves:     make(map[int]bool, len(s.Targets)),
-		}
-		for _, t := range s.Targets {
-			out.serves[t] = true
+			serves:     s.Targets,
 		}
+		at := hsflow.NewPlace(s.Proto, s.Address)
 		gens := v.History[s.Name]
 		for i := range gens {
 			out.generations = append(out.generations, newGeneration(v, &gens[i]))
 		}
 		if before != nil {
-			if old := before.Service(s.Proto, s.Address); old != nil {
+			if old := before.Service(at); old != nil {
 				out.Moved = old.Moved || old.Name != s.Name
 			}
 		}
-		v.byPlace[place{s.Address, s.Proto}] = i
+		v.byPlace[at] = i
 		v.Services = append(v.Services, out)
 	}
 }
--- a/internal/hsentry/socket.go
+++ b/internal/hssocket/socket.go
@@ -1,4 +1,5 @@
-package hsentry
+// Package hssocket reads and writes datagrams in batches.
+package hssocket
 
 import (
 	"context"
@@ -13,44 +14,47 @@
 )
 
 type (
-	// batchConn reads and writes several datagrams in one system call.
-	batchConn interface {
+	// Conn reads and writes several datagrams in one system call.
+	Conn interface {
 		ReadBatch(ms []ipv4.Message, flags int) (int, error)
 		WriteBatch(ms []ipv4.Message, flags int) (int, error)
 	}
 
-	// batch is a set of received datagrams. It travels from the reader to the
+	// Batch is a set of received datagrams. It travels from the reader to the
 	// switch and back.
-	batch struct {
-		messages []ipv4.Message
+	Batch struct {
+		Messages []ipv4.Message
 		// Number of messages that were received.
-		n int
-		// One buffer per message; a datagram starts at received.
-		buffers [][]byte
+		N int
+		// One buffer per message; a datagram starts at Received.
+		Buffers [][]byte
 	}
 
-	// sender collects datagrams and writes them in batches.
-	sender struct {
-		conn     batchConn
+	// Sender collects datagrams and writes them in batches.
+	Sender struct {
+		conn     Conn
 		messages []ipv4.Message
 		n        int
 		// Destinations in the form that the socket takes.
 		addrs map[netip.AddrPort]*net.UDPAddr
 		// Datagrams that could not be sent.
-		failed uint64
+		Failed uint64
 	}
 )
 
 const (
+	// Batches is the number of batches that a reader and its consumer share.
+	Batches = 8
+
 	batchSize = 64
-	batches   = 8
-	// received is the offset of a datagram in its buffer, so that a longer
+	// Received is the offset of a datagram in its buffer, so that a longer
 	// tunnel header fits in front of the inner packet.
-	received   = hspacket.Headroom
-	bufferSize = received + 128 + hspacket.MaxInner
+	Received   = hspacket.Headroom
+	BufferSize = Received + 128 + hspacket.MaxInner
 )
 
-func newBatchConn(conn *net.UDPConn) batchConn {
+// NewConn returns conn for batches.
+func NewConn(conn *net.UDPConn) Conn {
 	local, _ := netip.ParseAddrPort(conn.LocalAddr().String())
 	if local.Addr().Unmap().Is4() {
 		return ipv4.NewPacketConn(conn)
@@ -58,32 +62,33 @@
 	return ipv6.NewPacketConn(conn)
 }
 
-func newBatch() *batch {
-	b := &batch{messages: make([]ipv4.Message, batchSize), buffers: make([][]byte, batchSize)}
-	for i := range b.messages {
-		b.buffers[i] = make([]byte, bufferSize)
-		b.messages[i].Buffers = [][]byte{b.buffers[i][received:]}
+// NewBatch returns an empty batch.
+func NewBatch() *Batch {
+	b := &Batch{Messages: make([]ipv4.Message, batchSize), Buffers: make([][]byte, batchSize)}
+	for i := range b.Messages {
+		b.Buffers[i] = make([]byte, BufferSize)
+		b.Messages[i].Buffers = [][]byte{b.Buffers[i][Received:]}
 	}
 	return b
 }
 
-// read fills free batches and passes them on until ctx or the socket ends.
-func read(ctx context.Context, conn batchConn, free <-chan *batch, full chan<- *batch) error {
+// Read fills free batches and passes them on until ctx or the socket ends.
+func Read(ctx context.Context, conn Conn, free <-chan *Batch, full chan<- *Batch) error {
 	for {
-		var b *batch
+		var b *Batch
 		select {
 		case b = <-free:
 		case <-ctx.Done():
 			return nil
 		}
-		n, err := conn.ReadBatch(b.messages, 0)
+		n, err := conn.ReadBatch(b.Messages, 0)
 		if err != nil {
 			if errors.Is(err, net.ErrClosed) {
 				return nil
 			}
 			n = 0
 		}
-		b.n = n
+		b.N = n
 		select {
 		case full <- b:
 		case <-ctx.Done():
@@ -92,16 +97,17 @@
 	}
 }
 
-func newSender(conn batchConn) *sender {
-	s := &sender{conn: conn, messages: make([]ipv4.Message, batchSize), addrs: map[netip.AddrPort]*net.UDPAddr{}}
+// NewSender returns a sender that writes to conn.
+func NewSender(conn Conn) *Sender {
+	s := &Sender{conn: conn, messages: make([]ipv4.Message, batchSize), addrs: map[netip.AddrPort]*net.UDPAddr{}}
 	for i := range s.messages {
 		s.messages[i].Buffers = make([][]byte, 1)
 	}
 	return s
 }
 
-// send queues a datagram; its memory must stay as it is until flush.
-func (s *sender) send(to netip.AddrPort, data []byte) {
+// Send queues a datagram; its memory must stay as it is until Flush.
+func (s *Sender) Send(to netip.AddrPort, data []byte) {
 	addr, ok := s.addrs[to]
 	if !ok {
 		addr = net.UDPAddrFromAddrPort(to)
@@ -112,17 +118,17 @@
 	m.Addr = addr
 	s.n++
 	if s.n == len(s.messages) {
-		s.flush()
+		s.Flush()
 	}
 }
 
-// flush writes what is queued. A datagram that the socket refuses is counted
+// Flush writes what is queued. A datagram that the socket refuses is counted
 // and skipped; senders above recover from loss.
-func (s *sender) flush() {
+func (s *Sender) Flush() {
 	for done := 0; done < s.n; {
 		n, err := s.conn.WriteBatch(s.messages[done:s.n], 0)
 		if err != nil {
-			s.failed++
+			s.Failed++
 			n = max(n, 0) + 1
 		}
 		done += n
