Compare ways to keep connections; run real processes under signals

Cause: nothing showed what the design gains, and no run used real processes. The comparison itself found two faults: half of the new flows were diverted for a difference of one connection, at a hop per packet (1.05 hops), and after six changes the ranks of newer generations pushed the older ones' choices out of the candidates, so two crashes broke 3 or 4 of 1,500 connections.

Change: hslab compare (hash, hash and table, homes), TestProcesses behind make faults, a diversion needs a margin of one flow and 1/64, the two choices of every generation precede all other ranks.

--- a/Makefile
+++ b/Makefile
@@ -49,3 +49,6 @@
 
 fuzz: ## fuzz the codec for a minute
 	go test -run '^$$' -fuzz FuzzDecode -fuzztime 60s ./internal/hspacket
+
+faults: ## kill, pause and restart real hsentry processes under load
+	go test -count=1 -v -run TestProcesses ./internal/hslab -processes
--- a/cmd/hslab/main.go
+++ b/cmd/hslab/main.go
@@ -10,12 +10,12 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
-	"heatherstack.org/heatherstack/internal/hslab"
+	"heatherstack.org/heatherstack/internal/hscommand"
 )
 
 func main() {
 	app := kingpin.New("hslab", "Runs heatherstack with stand-ins on loopback and measures what callers see.")
-	lab := hslab.NewCommands(app, os.Stdout)
+	lab := hscommand.NewCommands(app, os.Stdout)
 	command := kingpin.MustParse(app.Parse(os.Args[1:]))
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	code := lab.Run(ctx, command)
--- a/internal/hslab/commands.go
+++ b/internal/hscommand/commands.go
@@ -1,4 +1,5 @@
-package hslab
+// Package hscommand is the command line of hslab.
+package hscommand
 
 import (
 	"context"
@@ -9,14 +10,24 @@
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
+
+	"heatherstack.org/heatherstack/internal/hslab"
+	"heatherstack.org/heatherstack/internal/hsmatrix"
 )
 
 type (
 	// Commands are the subcommands of hslab.
 	Commands struct {
-		out   io.Writer
-		demo  demoFlags
-		relay relayFlags
+		out     io.Writer
+		demo    demoFlags
+		relay   relayFlags
+		compare compareFlags
+	}
+
+	compareFlags struct {
+		command *kingpin.CmdClause
+		seed    *uint64
+		json    *bool
 	}
 
 	relayFlags struct {
@@ -45,11 +56,6 @@
 	exitError  = 2
 )
 
-const (
-	firstNet  = 16
-	netChoice = 200
-)
-
 // NewCommands declares the subcommands on app; results go to out.
 func NewCommands(app *kingpin.Application, out io.Writer) *Commands {
 	c := &Commands{out: out}
@@ -71,6 +77,12 @@
 		size:     r.Flag("size", "Bytes of payload.").Default("64").Int(),
 		net:      r.Flag("net", "Second byte of the loopback addresses in use; 0 takes it from the process id.").Default("0").Uint8(),
 	}
+	m := app.Command("compare", "Compare ways to keep connections, with the same seed, changes and faults.")
+	c.compare = compareFlags{
+		command: m,
+		seed:    m.Flag("seed", "Seed of all random choices.").Default("1").Uint64(),
+		json:    m.Flag("json", "Write one JSON object per policy.").Bool(),
+	}
 	return c
 }
 
@@ -79,6 +91,8 @@
 	switch command {
 	case c.demo.command.FullCommand():
 		return c.runDemo(ctx)
+	case c.compare.command.FullCommand():
+		return c.runCompare()
 	case c.relay.command.FullCommand():
 		return c.runRelay(ctx)
 	default:
@@ -86,9 +100,28 @@
 	}
 }
 
+// runCompare fails if the product's own policy breaks a connection by a
+// planned change, which are all events but the crash.
+func (c *Commands) runCompare() int {
+	code := exitKept
+	for _, p := range hsmatrix.Policies {
+		r := hsmatrix.Compare(*c.compare.seed, p)
+		if *c.compare.json {
+			_ = json.NewEncoder(c.out).Encode(r)
+		} else {
+			_, _ = fmt.Fprintf(c.out, "%-6s  opened %d  broken %d %v  lost %d  doubled %d  imbalance %.3f  hops %.2f  bytes/s/host %.0f  slowest %.1f s\n",
+				r.Policy, r.Opened, r.Broken, r.ByEvent, r.Lost, r.Doubled, r.Imbalance, r.Hops, r.Bytes, r.Slowest)
+		}
+		if p.Make == nil && r.Broken > r.ByEvent["two-crash"] {
+			code = exitBroken
+		}
+	}
+	return code
+}
+
 func (c *Commands) runRelay(ctx context.Context) int {
 	f := &c.relay
-	r, err := Relay(ctx, RelayConfig{Duration: *f.duration, Turns: *f.turns, Net: netByte(*f.net), Size: *f.size})
+	r, err := hslab.Relay(ctx, hslab.RelayConfig{Duration: *f.duration, Turns: *f.turns, Net: hslab.NetByte(*f.net), Size: *f.size})
 	if err != nil {
 		_, _ = fmt.Fprintln(os.Stderr, "hslab:", err)
 		return exitError
@@ -99,11 +132,11 @@
 
 func (c *Commands) runDemo(ctx context.Context) int {
 	f := &c.demo
-	cfg := DemoConfig{Seed: *f.seed, Duration: *f.duration, Scale: *f.scale, Net: netByte(*f.net), Report: c.reporter(*f.json)}
+	cfg := hslab.DemoConfig{Seed: *f.seed, Duration: *f.duration, Scale: *f.scale, Net: hslab.NetByte(*f.net), Report: c.reporter(*f.json)}
 	if *f.log {
 		cfg.World.Log = os.Stderr
 	}
-	v, err := Demo(ctx, cfg)
+	v, err := hslab.Demo(ctx, cfg)
 	if err != nil {
 		_, _ = fmt.Fprintln(os.Stderr, "hslab:", err)
 		return exitError
@@ -115,17 +148,9 @@
 	return exitKept
 }
 
-func (c *Commands) reporter(asJSON bool) Reporter {
+func (c *Commands) reporter(asJSON bool) hslab.Reporter {
 	if asJSON {
-		return &JSONReporter{W: c.out}
-	}
-	return &TextReporter{W: c.out}
-}
-
-// netByte returns n, or a number that differs between processes.
-func netByte(n uint8) uint8 {
-	if n != 0 {
-		return n
+		return &hslab.JSONReporter{W: c.out}
 	}
-	return uint8(firstNet + os.Getpid()%netChoice)
+	return &hslab.TextReporter{W: c.out}
 }
--- a/internal/hshome/caller.go
+++ b/internal/hshome/caller.go
@@ -17,6 +17,9 @@
 	// aliveWithin is the time in ms within which the target must have sent
 	// something for others, so that the flow and not the target is silent.
 	aliveWithin = 1000
+	// marginShare is the part of a target's flows by which another one has to
+	// be emptier to be worth a hop.
+	marginShare = 64
 )
 
 // fromCaller takes a caller's packet as home of first, its first choice.
@@ -203,14 +206,20 @@
 	return best, c.fill(best) < c.view.Targets[at].Connections
 }
 
-// emptier reports whether a has more room than b for its weight.
+// emptier reports whether a has more room than b for its weight. Where a and b
+// have different homes, each packet of a diverted flow costs a hop more, so a
+// has to be emptier by a margin.
 func (c *Core) emptier(a, b uint32) bool {
 	ta := &c.view.Targets[c.targets[a].at]
 	tb := &c.view.Targets[c.targets[b].at]
 	if !tb.Live {
 		return ta.Live
 	}
-	return ta.Live && uint64(c.fill(a))*uint64(tb.Weight) < uint64(c.fill(b))*uint64(ta.Weight)
+	fill := c.fill(a)
+	if c.home(a) != c.home(b) {
+		fill += 1 + fill/marginShare
+	}
+	return ta.Live && uint64(fill)*uint64(tb.Weight) < uint64(c.fill(b))*uint64(ta.Weight)
 }
 
 // put holds the flow with target n, or returns nil if the table is full.
--- a/internal/hslab/world.go
+++ b/internal/hslab/world.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -380,3 +381,22 @@
 		return errors.Trace(ctx.Err())
 	}
 }
+
+// SprayMachines points the fabric at entry hosts that run as processes of
+// their own.
+func (w *World) SprayMachines(hosts []Machine) {
+	list := make([]netip.AddrPort, 0, len(hosts))
+	for _, h := range hosts {
+		list = append(list, netip.AddrPortFrom(h.Address, GenevePort))
+	}
+	w.spray.Store(&list)
+}
+
+// NetByte returns n, or a number that differs between processes.
+func NetByte(n uint8) uint8 {
+	const first, choice = 16, 200
+	if n != 0 {
+		return n
+	}
+	return uint8(first + os.Getpid()%choice)
+}
--- /dev/null
+++ b/internal/hsmatrix/compare.go
@@ -0,0 +1,185 @@
+package hsmatrix
+
+import (
+	"net/netip"
+	"time"
+
+	"heatherstack.org/heatherstack/internal/hsflow"
+	"heatherstack.org/heatherstack/internal/hshome"
+	"heatherstack.org/heatherstack/internal/hslab"
+	"heatherstack.org/heatherstack/internal/hspacket"
+	"heatherstack.org/heatherstack/internal/hsrank"
+)
+
+type (
+	// Policy is a way to keep connections at their target.
+	Policy struct {
+		Name string
+		// Nil means the product's core.
+		Make func(cfg hshome.Config) Decider
+	}
+
+	// Comparison is what one policy did with the same seed, changes and faults.
+	Comparison struct {
+		Policy string `json:"policy"`
+		// Connections that callers opened, and that broke.
+		Opened int `json:"opened"`
+		Broken int `json:"broken"`
+		// The same by event.
+		ByEvent map[string]int `json:"byEvent"`
+		Lost    int            `json:"lost"`
+		Doubled int            `json:"doubled"`
+		// Largest over mean of open connections per target, once all callers
+		// are connected.
+		Imbalance float64 `json:"imbalance"`
+		// Packets between entry hosts per packet from the fabric, before the
+		// first change.
+		Hops float64 `json:"hops"`
+		// Bytes between entry hosts per second and host, tunnel headers
+		// included, before the first change.
+		Bytes float64 `json:"bytes"`
+		// Longest time from request to answer, seconds.
+		Slowest float64 `json:"slowest"`
+	}
+
+	// hashCore is the baseline: the hash of the flow over the live targets,
+	// with or without a table of the flows that this host has seen.
+	hashCore struct {
+		view *hsrank.View
+		// Nil without a table.
+		table map[hsflow.Key]netip.Addr
+	}
+)
+
+const (
+	compareCallers = 1500
+	compareThink   = time.Second
+	openTime       = 6 * time.Second
+	calmTime       = 4 * time.Second
+	eventTime      = 8 * time.Second
+)
+
+// Policies are the compared policies.
+var Policies = []Policy{
+	{"hash", func(cfg hshome.Config) Decider { return &hashCore{view: cfg.View} }},
+	{"table", func(cfg hshome.Config) Decider { return &hashCore{view: cfg.View, table: map[hsflow.Key]netip.Addr{}} }},
+	{"homes", nil},
+}
+
+// Compare runs one policy through target changes, a rolling replacement of all
+// entry hosts, a move, uneven manifests and a crash of two hosts.
+func Compare(seed uint64, p Policy) Comparison {
+	s := newCompareScene(seed, p)
+	out := Comparison{Policy: p.Name, ByEvent: map[string]int{}}
+	s.N.Run(openTime)
+	out.Imbalance = s.imbalance()
+	s.measureCalm(&out)
+	broken := 0
+	for _, e := range []struct {
+		name string
+		run  func()
+	}{
+		{"targets-join", func() { s.AddTargets(); s.Publish() }},
+		{"targets-leave", func() { s.leaveTargets(len(s.Estate.Targets), 2); s.Publish() }},
+		{"hosts-replaced", func() { replaceHosts(s) }},
+		{"move", func() { replaceTargets(s); replaceHosts(s) }},
+		{"uneven", func() { s.lagHosts(); replaceTargets(s) }},
+		{"two-crash", func() { s.crash(s.Home()); s.crash(s.other()) }},
+	} {
+		e.run()
+		s.N.Run(eventTime)
+		out.ByEvent[e.name] = s.focus().Broken - broken
+		broken = s.focus().Broken
+	}
+	s.N.Run(calmTime)
+	t := s.focus()
+	_, out.Doubled, _ = s.N.Ledger.Totals()
+	out.Opened, out.Broken, out.Lost = t.Opened, t.Broken, t.Lost
+	out.Slowest = float64(t.Latency.Max()) / float64(time.Second/time.Microsecond)
+	return out
+}
+
+func newCompareScene(seed uint64, p Policy) *Scene {
+	s := &Scene{
+		N:       NewNet(seed),
+		Tallies: map[string]*hslab.Tally{focusName: hslab.NewTally()},
+		seed:    seed,
+		Estate: &hslab.Estate{
+			Pools:    []hslab.PoolPlan{{Name: "desk", Targets: 15, Slots: 3, Connections: 2000}},
+			Services: services()[:1],
+		},
+	}
+	s.N.Make = p.Make
+	s.AddTargets()
+	s.AddHosts(6)
+	s.Publish()
+	s.N.Run(settle)
+	s.SprayAll()
+	script := s.Estate.Services[0].Script
+	script.Think = compareThink
+	for i := range compareCallers {
+		a := netip.AddrFrom4([4]byte{10, 1, byte(i >> 8), byte(i)})
+		s.Focus = s.addClient(script, a, focusName, time.Duration(i)*2*time.Millisecond)
+	}
+	return s
+}
+
+// measureCalm measures what forwarding costs while nothing changes.
+func (s *Scene) measureCalm(out *Comparison) {
+	from, hops, bytes := s.N.Sprayed, s.N.Forwarded, s.N.ForwardedBytes
+	s.N.Run(calmTime)
+	out.Hops = float64(s.N.Forwarded-hops) / float64(s.N.Sprayed-from)
+	out.Bytes = float64(s.N.ForwardedBytes-bytes) / calmTime.Seconds() / float64(len(s.N.Hosts))
+}
+
+// imbalance returns the largest over the mean of open connections per target.
+func (s *Scene) imbalance() float64 {
+	largest, total := 0, 0
+	for _, t := range s.Estate.Targets {
+		open := s.N.Servers[t.Address].Connections()
+		largest = max(largest, open)
+		total += open
+	}
+	return float64(largest) * float64(len(s.Estate.Targets)) / float64(max(total, 1))
+}
+
+// lagHosts makes manifests reach the hosts at different times.
+func (s *Scene) lagHosts() {
+	for i, h := range s.running() {
+		h.Lag = time.Duration(i) * 150 * time.Millisecond
+	}
+}
+
+// Step implements Decider.
+func (c *hashCore) Step(_ time.Time, in *hshome.Input, out []hshome.Output) []hshome.Output {
+	switch in.Kind {
+	case hshome.InView:
+		c.view = in.View
+	case hshome.InPacket:
+		return c.packet(in.Packet, in.From, out)
+	}
+	return out
+}
+
+func (c *hashCore) packet(p *hspacket.Packet, from netip.Addr, out []hshome.Output) []hshome.Output {
+	if _, reply := c.view.TargetAt(from); reply {
+		return append(out, hshome.Output{Kind: hshome.ToCaller})
+	}
+	key := p.Key()
+	s := c.view.Service(key.Place())
+	if s == nil {
+		return out
+	}
+	if to, ok := c.table[key]; ok && !p.Seg.Opens() {
+		return append(out, hshome.Output{Kind: hshome.ToTarget, Addr: to})
+	}
+	first := c.view.First(s, key.Hash())
+	if first < 0 {
+		return out
+	}
+	to := c.view.Targets[first].Address
+	if c.table != nil {
+		c.table[key] = to
+	}
+	return append(out, hshome.Output{Kind: hshome.ToTarget, Addr: to})
+}
--- a/internal/hsmatrix/host.go
+++ b/internal/hsmatrix/host.go
@@ -27,8 +27,6 @@
 		Zone string
 		// Time that the platform's changes take longer to reach this host.
 		Lag time.Duration
-		// Makes the data path's core; nil means hshome.
-		Make func(cfg hshome.Config) Decider
 
 		n       *Net
 		control *hscontrol.Core
@@ -220,12 +218,16 @@
 }
 
 func (h *Host) report() {
-	core := h.Core()
-	if core == nil {
+	if h.core == nil {
 		return
 	}
-	quiet := h.leaving && core.Quiet() && h.n.Now.Sub(h.traffic) > quietAfter
-	h.apply(h.control.Loads(h.n.Now, core.Loads(nil), quiet, h.control.Waiting()))
+	quiet := h.leaving && h.n.Now.Sub(h.traffic) > quietAfter
+	var loads []hshome.Load
+	if core := h.Core(); core != nil {
+		quiet = quiet && core.Quiet()
+		loads = core.Loads(nil)
+	}
+	h.apply(h.control.Loads(h.n.Now, loads, quiet, h.control.Waiting()))
 }
 
 // apply carries out what the control core wants done.
@@ -251,8 +253,8 @@
 func (h *Host) controlInput(in *hshome.Input) {
 	if in.Kind == hshome.InView && h.core == nil {
 		cfg := hshome.Config{MaxFlows: maxFlows, Idle: idleTime, Start: h.n.Now, View: in.View}
-		if h.Make != nil {
-			h.core = h.Make(cfg)
+		if h.n.Make != nil {
+			h.core = h.n.Make(cfg)
 		} else {
 			h.core = hshome.New(cfg)
 		}
--- a/internal/hsmatrix/net.go
+++ b/internal/hsmatrix/net.go
@@ -41,9 +41,13 @@
 		Watch func(to netip.Addr, p *hspacket.Packet)
 		// Sees every message that arrives; for diagnosis.
 		Trace func(what string, from, to netip.Addr, steer hspacket.Steer, p *hspacket.Packet)
-		// Packets that entry hosts delivered or forwarded.
-		Delivered int
-		Forwarded int
+		// Makes the data path's core of hosts; nil means hshome.
+		Make func(cfg hshome.Config) Decider
+		// Packets that the fabric handed to entry hosts, and that these
+		// forwarded to one another, with the bytes of the latter.
+		Sprayed        int
+		Forwarded      int
+		ForwardedBytes int
 
 		byCaller map[netip.Addr]*hslab.Client
 		byHost   map[netip.Addr]*Host
@@ -74,6 +78,8 @@
 	linkDelay   = time.Millisecond
 	standTick   = 5 * time.Millisecond
 	platformLag = 5 * time.Millisecond
+	// udpHeaders is the size of the outer IPv4 and UDP headers.
+	udpHeaders = 28
 )
 
 var (
@@ -251,6 +257,7 @@
 	if err != nil || len(n.Spray) == 0 {
 		return
 	}
+	n.Sprayed++
 	h := n.Spray[n.RNG.IntN(len(n.Spray))]
 	n.send(message{from: from, to: h.Addr, inner: inner})
 }
@@ -266,10 +273,10 @@
 		m := message{from: h.Addr, to: o.Addr, inner: data}
 		switch o.Kind {
 		case hshome.ToTarget:
-			n.Delivered++
 			n.send(m)
 		case hshome.ToHost, hshome.Control:
 			n.Forwarded++
+			n.ForwardedBytes += len(m.inner) + hspacket.Headroom + udpHeaders
 			m.steer = o.Steer
 			n.send(m)
 		case hshome.ToCaller:
--- a/internal/hsrank/rank.go
+++ b/internal/hsrank/rank.go
@@ -45,6 +45,9 @@
 // MaxCandidates bounds the candidates of one flow.
 const MaxCandidates = 16
 
+// choices is the number of targets that a new flow chooses between.
+const choices = 2
+
 // maxZones bounds the zones that one generation adds to the candidates.
 const maxZones = 4
 
@@ -204,6 +207,16 @@
 	return dst
 }
 
+// ranks appends the first depth ranks to dst.
+func (g *generation) ranks(hash uint64, depth int, dst []int) []int {
+	var room [MaxCandidates]int
+	ranked := g.rank(hash, room[:0])
+	for _, t := range ranked[:min(depth, len(ranked))] {
+		dst = appendNew(dst, t)
+	}
+	return dst
+}
+
 func appendNew(dst []int, target int) []int {
 	for _, t := range dst {
 		if t == target {
--- a/internal/hsrank/view.go
+++ b/internal/hsrank/view.go
@@ -202,11 +202,16 @@
 	return dst
 }
 
-// Known is Candidates without those of an unknown past.
+// Known is Candidates without those of an unknown past. The two choices that a
+// new flow had in each generation come first, so that many generations do not
+// push out the likely ones; the ranks that only counted while a zone could not
+// be reached follow.
 func (v *View) Known(s *Service, hash uint64, dst []int) []int {
-	for i := range s.generations {
-		if !s.generations[i].guessed {
-			dst = s.generations[i].rank(hash, dst)
+	for _, depth := range []int{choices, MaxCandidates} {
+		for i := range s.generations {
+			if !s.generations[i].guessed {
+				dst = s.generations[i].ranks(hash, depth, dst)
+			}
 		}
 	}
 	return dst
--- a/internal/hssocket/socket.go
+++ b/internal/hssocket/socket.go
@@ -50,7 +50,7 @@
 	// Received is the offset of a datagram in its buffer, so that a longer
 	// tunnel header fits in front of the inner packet.
 	Received   = hspacket.Headroom
-	BufferSize = Received + 128 + hspacket.MaxInner
+	bufferSize = Received + 128 + hspacket.MaxInner
 )
 
 // NewConn returns conn for batches.
@@ -66,7 +66,7 @@
 func NewBatch() *Batch {
 	b := &Batch{Messages: make([]ipv4.Message, batchSize), Buffers: make([][]byte, batchSize)}
 	for i := range b.Messages {
-		b.Buffers[i] = make([]byte, BufferSize)
+		b.Buffers[i] = make([]byte, bufferSize)
 		b.Messages[i].Buffers = [][]byte{b.Buffers[i][Received:]}
 	}
 	return b
