Count silence as loss of a flow only while its target is heard

Ruled out: that the target had been heard within the trial's window only; it was, after the heal.

Change: silence counts only if the target was heard of both just before the trial and during it.

--- a/internal/hshome/recover.go
+++ b/internal/hshome/recover.go
@@ -31,6 +31,10 @@
 	at int
 	// Bit i: candidate i was tried and denied the flow.
 	denied uint16
+	// Bit i: candidate i was silent about the flow while it answered others.
+	mute uint16
+	// True if the candidate under trial was heard shortly before the trial.
+	audible bool
 	// Number of times that all candidates were gone through.
 	rounds int
 	// True once the wait is over and stands in waitList only.
@@ -98,7 +102,7 @@
 		}
 		c.setPhase(f, asking)
 		w.cands, w.pending = w.cands[:0], w.pending[:0]
-		w.unsure, w.denied, w.rounds = 0, 0, 0
+		w.unsure, w.denied, w.mute, w.rounds = 0, 0, 0, 0
 		x := context{p: &w.held[0], key: w.key, hash: w.key.Hash()}
 		c.begin(w, s, &x, f.target)
 	}
@@ -404,6 +408,7 @@
 	w.at = i
 	w.deadline = c.now + tryTimeout
 	c.bind(f, w.cands[i], trying)
+	w.audible = c.now-c.targets[f.target].heard <= tryTimeout
 	if c.targets[f.target].at < 0 {
 		w.deadline = c.now
 		return
@@ -444,26 +449,21 @@
 		c.giveUp(w, hscode.FlowDenied)
 	case w.rounds < maxRounds:
 		c.try(w, f, w.at)
-	case c.silentTargetsLive(w):
+	case w.denied|w.mute == all:
 		c.giveUp(w, hscode.FlowDenied)
 	default:
 		c.abandon(w, f)
 	}
 }
 
-// silentTargetsLive reports whether all candidates that neither denied the
-// flow nor answered are answering others, so that it is the flow that is lost
-// and not the way to the target.
-func (c *Core) silentTargetsLive(w *wait) bool {
-	for i, n := range w.cands {
-		if w.denied&(1<<i) != 0 {
-			continue
-		}
-		if c.home(n) != c.self() || c.now-c.targets[n].heard >= aliveWithin {
-			return false
-		}
+// noteMute notes that the candidate under trial did not answer, if it sent
+// something to others shortly before and meanwhile: then the flow is lost and
+// not the way to the target.
+func (c *Core) noteMute(w *wait, f *flow) {
+	began := w.deadline - tryTimeout
+	if c.home(f.target) == c.self() && w.audible && c.targets[f.target].heard > began {
+		w.mute |= 1 << w.at
 	}
-	return true
 }
 
 // abandon ends a recovery without telling the caller anything, since a
@@ -608,6 +608,7 @@
 		return
 	}
 	if answerable(w) {
+		c.noteMute(w, f)
 		c.next(w, f)
 		return
 	}
