--- /dev/null
+++ b/internal/hsmanifest/manifest_test.go
@@ -0,0 +1,122 @@
+package hsmanifest
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+
+	"heatherstack.org/heatherstack/internal/hscode"
+)
+
+func example(t testing.TB) string {
+	t.Helper()
+	data, err := os.ReadFile("testdata/example.json")
+	assert.NilError(t, err)
+	return string(data)
+}
+
+func parse(t testing.TB, text string) *Manifest {
+	t.Helper()
+	m, faults := Parse([]byte(text))
+	assert.Assert(t, faults == nil, "%v", faults)
+	return m
+}
+
+// TestFaults lists changes to a valid manifest with all faults that they yield.
+func TestFaults(t *testing.T) {
+	good := example(t)
+	parse(t, good)
+	var b strings.Builder
+	for _, c := range []struct{ old, next string }{
+		{`"version": "7"`, `"version": "0"`},
+		{`"version": "7"`, `"version": -1`},
+		{`"version": "7"`, `"versions": 7`},
+		{`"name": "race"`, `"name": ""`},
+		{`"address": "198.51.100.1"`, `"address": "198.51.100.300"`},
+		{`"address": "198.51.100.1"`, `"address": "239.1.1.1"`},
+		{`"protocol": "tcp"`, `"protocol": "sctp"`},
+		{`"class": "urgent"`, `"class": "asap"`},
+		{`"port": 443`, `"port": 70000`},
+		{`"targets": ["desk-1", "desk-2"]`, `"targets": ["desk-1", "desk-1", "desk-9"]`},
+		{`"user": "race"`, `"user": "nobody"`},
+		{`"state": "leaving"`, `"state": "gone"`},
+		{`"name": "desk-2"`, `"name": "desk-1"`},
+		{`"address": "10.1.0.2"`, `"address": "10.1.0.1"`},
+		{`"address": "10.0.0.1"`, `"address": "10.1.0.1"`},
+		{`"slots": 3`, `"slots": 0`},
+		{`"port": 53`, `"port": 443`},
+		{`{`, `[`},
+	} {
+		assert.Assert(t, strings.Contains(good, c.old), c.old)
+		fmt.Fprintf(&b, "%s -> %s\n", c.old, c.next)
+		_, faults := Parse([]byte(strings.Replace(good, c.old, c.next, 1)))
+		for _, f := range faults {
+			fmt.Fprintf(&b, "    %s\n", f.Error())
+		}
+	}
+	golden.Assert(t, b.String(), "faults.golden")
+	_, faults := Parse(make([]byte, MaxSize+1))
+	assert.Equal(t, faults[0].Code, hscode.ManifestSize)
+}
+
+func version(t testing.TB, n int, leaving ...string) *Manifest {
+	t.Helper()
+	text := strings.Replace(example(t), `"version": "7"`, fmt.Sprintf(`"version": "%d"`, n), 1)
+	text = strings.Replace(text, `"leaving"`, `"live"`, 1)
+	for _, name := range leaving {
+		at := strings.Index(text, `"name": "`+name+`"`)
+		text = text[:at] + strings.Replace(text[at:], `"live"`, `"leaving"`, 1)
+	}
+	return parse(t, text)
+}
+
+// TestKeeper checks that versions only rise and that two contents of one
+// version end in the same manifest everywhere.
+func TestKeeper(t *testing.T) {
+	older, newer := version(t, 7), version(t, 8)
+	var k Keeper
+	changed, code := k.Offer(newer, nil)
+	assert.Assert(t, changed && code == hscode.OK)
+	changed, code = k.Offer(older, nil)
+	assert.Assert(t, !changed && code == hscode.ManifestStale)
+	changed, code = k.Offer(newer, nil)
+	assert.Assert(t, !changed && code == hscode.OK)
+
+	other := version(t, 8, "desk-1")
+	var l Keeper
+	l.Offer(other, nil)
+	_, code = l.Offer(newer, nil)
+	assert.Equal(t, code, hscode.ManifestConflict)
+	_, code = k.Offer(other, nil)
+	assert.Equal(t, code, hscode.ManifestConflict)
+	one, _ := k.Current()
+	two, _ := l.Current()
+	assert.Equal(t, one.Digest, two.Digest)
+}
+
+// TestHistory checks that a host which saw all versions and one that learned
+// the last from it hold the same generations.
+func TestHistory(t *testing.T) {
+	var seen, late Keeper
+	seen.Offer(version(t, 1), nil)
+	seen.Offer(version(t, 2, "desk-1"), nil)
+	seen.Offer(version(t, 3, "desk-1", "desk-2"), nil)
+	_, history := seen.Current()
+	gens := history["checkin"]
+	assert.Equal(t, len(gens), 3)
+	assert.Equal(t, gens[0].Version, uint64(2))
+	assert.Equal(t, len(gens[0].Members), 1)
+	assert.Equal(t, gens[1].Version, uint64(1))
+	assert.Equal(t, len(gens[1].Members), 2)
+	assert.Assert(t, gens[2].Guessed())
+
+	late.Offer(version(t, 3, "desk-1", "desk-2"), nil)
+	changed, _ := late.Offer(version(t, 3, "desk-1", "desk-2"), history)
+	assert.Assert(t, changed)
+	_, learned := late.Current()
+	assert.Equal(t, learned.Digest(), history.Digest())
+}
--- a/internal/hsroster/roster.go
+++ b/internal/hsroster/roster.go
@@ -363,11 +363,20 @@
 // that the others need not find out themselves.
 func (r *Roster) stepSuspects(now time.Time) {
 	died := false
-	for _, m := range r.members {
-		if m.state == Suspect && now.Sub(m.since) >= r.cfg.Suspect {
+	for _, name := range sortedKeys(r.members) {
+		m := r.members[name]
+		if m.state != Suspect {
+			continue
+		}
+		if now.Sub(m.since) >= r.cfg.Suspect {
 			r.set(now, m, Dead)
 			died = true
+			continue
 		}
+		// Every tick of the suspicion gives the member another chance to
+		// answer, so that a lossy link does not end it.
+		r.seq++
+		r.send(name, hsschema.Heartbeat_KIND_PING, r.seq, "")
 	}
 	if died {
 		r.tellAll(now)
