--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 GEN_RPC  = connectrpc.com/connect/cmd/protoc-gen-connect-go@v1.21.1
 MODULE   = heatherstack.org/heatherstack
 
-.PHONY: help test build vet format lint fmt golden generate demo bench faults fuzz
+.PHONY: help test build vet format lint fmt golden generate demo bench faults fuzz matrix
 
 help: ## list the commands
 	@grep -E '^[a-z]+:.*##' Makefile | sed 's/:.*##/\t/'
@@ -52,3 +52,6 @@
 
 faults: ## kill, pause and restart real hsentry processes under load
 	go test -count=1 -v -run TestProcesses ./internal/hslab -processes
+
+matrix: ## run the fault matrix and all pairs with ten seeds a cell
+	go test -count=1 -timeout 30m ./internal/hsmatrix -run 'TestMatrix|TestPairs' -seeds 10
--- a/internal/hscommand/commands.go
+++ b/internal/hscommand/commands.go
@@ -22,6 +22,14 @@
 		demo    demoFlags
 		relay   relayFlags
 		compare compareFlags
+		budget  budgetFlags
+	}
+
+	budgetFlags struct {
+		command  *kingpin.CmdClause
+		hosts    *[]int
+		duration *time.Duration
+		net      *uint8
 	}
 
 	compareFlags struct {
@@ -77,6 +85,13 @@
 		size:     r.Flag("size", "Bytes of payload.").Default("64").Int(),
 		net:      r.Flag("net", "Second byte of the loopback addresses in use; 0 takes it from the process id.").Default("0").Uint8(),
 	}
+	b := app.Command("budget", "Measure what control costs an entry host, idle and while manifests change.")
+	c.budget = budgetFlags{
+		command:  b,
+		hosts:    b.Flag("hosts", "Number of entry hosts; repeat for several points.").Default("4", "8", "16", "32").Ints(),
+		duration: b.Flag("duration", "Length of each half of a point.").Default("5s").Duration(),
+		net:      b.Flag("net", "Second byte of the loopback addresses in use; 0 takes it from the process id.").Default("0").Uint8(),
+	}
 	m := app.Command("compare", "Compare ways to keep connections, with the same seed, changes and faults.")
 	c.compare = compareFlags{
 		command: m,
@@ -91,6 +106,8 @@
 	switch command {
 	case c.demo.command.FullCommand():
 		return c.runDemo(ctx)
+	case c.budget.command.FullCommand():
+		return c.runBudget(ctx)
 	case c.compare.command.FullCommand():
 		return c.runCompare()
 	case c.relay.command.FullCommand():
@@ -100,6 +117,18 @@
 	}
 }
 
+func (c *Commands) runBudget(ctx context.Context) int {
+	for _, n := range *c.budget.hosts {
+		p, err := hslab.Budget(ctx, hslab.BudgetConfig{Hosts: n, Duration: *c.budget.duration, Net: hslab.NetByte(*c.budget.net)})
+		if err != nil {
+			_, _ = fmt.Fprintln(os.Stderr, "hslab:", err)
+			return exitError
+		}
+		_ = json.NewEncoder(c.out).Encode(p)
+	}
+	return exitKept
+}
+
 // runCompare fails if the product's own policy breaks a connection by a
 // planned change, which are all events but the crash.
 func (c *Commands) runCompare() int {
@@ -109,10 +138,10 @@
 		if *c.compare.json {
 			_ = json.NewEncoder(c.out).Encode(r)
 		} else {
-			_, _ = fmt.Fprintf(c.out, "%-6s  opened %d  broken %d %v  lost %d  doubled %d  imbalance %.3f  hops %.2f  bytes/s/host %.0f  slowest %.1f s\n",
-				r.Policy, r.Opened, r.Broken, r.ByEvent, r.Lost, r.Doubled, r.Imbalance, r.Hops, r.Bytes, r.Slowest)
+			_, _ = fmt.Fprintf(c.out, "%-6s  opened %d  broken %d %v  lost %d  doubled %d  imbalance %.3f  hops %.2f  bytes/s/host %.0f  slowest %.1f s  asks %d  trials %d  handed %d\n",
+				r.Policy, r.Opened, r.Broken, r.ByEvent, r.Lost, r.Doubled, r.Imbalance, r.Hops, r.Bytes, r.Slowest, r.Asks, r.Trials, r.Handed)
 		}
-		if p.Make == nil && r.Broken > r.ByEvent["two-crash"] {
+		if p.Make == nil && !p.NoHandover && r.Broken > r.ByEvent["two-crash"] {
 			code = exitBroken
 		}
 	}
--- a/internal/hsentry/admin.go
+++ b/internal/hsentry/admin.go
@@ -34,6 +34,12 @@
 	Counters map[string]uint64
 }
 
+// Names of counters that experiments read.
+const (
+	CounterSent     = "control_sent"
+	CounterReceived = "control_received"
+)
+
 const (
 	headerTimeout = 5 * time.Second
 	statusTimeout = time.Second
@@ -129,8 +135,8 @@
 		"trial_started":    s.Trials,
 		"handover_out":     s.HandedOut,
 		"handover_in":      s.HandedIn,
-		"control_sent":     ctl.Sent,
-		"control_received": ctl.Received,
+		CounterSent:        ctl.Sent,
+		CounterReceived:    ctl.Received,
 	}
 	for _, counts := range []map[hscode.Code]uint64{sw.Counts, ctl.Counts} {
 		for code, n := range counts {
--- /dev/null
+++ b/internal/hslab/budget.go
@@ -0,0 +1,150 @@
+package hslab
+
+import (
+	"context"
+	"runtime"
+	"time"
+
+	"github.com/juju/errors"
+
+	"heatherstack.org/heatherstack/internal/hsentry"
+)
+
+type (
+	// BudgetConfig holds the settings of one point of the budget measurement.
+	BudgetConfig struct {
+		Hosts int
+		// Length of the idle half and of the half with changes.
+		Duration time.Duration
+		Net      uint8
+	}
+
+	// BudgetPoint is what control costs one entry host, without any caller.
+	BudgetPoint struct {
+		Kind  string `json:"kind"`
+		Hosts int    `json:"hosts"`
+		// Bytes of heartbeats per second and host with IP and UDP headers.
+		IdleSent       float64 `json:"idleSent"`
+		IdleReceived   float64 `json:"idleReceived"`
+		ChangeSent     float64 `json:"changeSent"`
+		ChangeReceived float64 `json:"changeReceived"`
+		// Changes per second in the second half.
+		Changes float64 `json:"changes"`
+		// Share of one core per host, in percent; stand-ins are part of it.
+		IdleCPU   float64 `json:"idleCPU"`
+		ChangeCPU float64 `json:"changeCPU"`
+		// Platform calls per second, all hosts together, while idle.
+		Reads float64 `json:"reads"`
+		// Time from publication to in force everywhere, seconds.
+		ForceMax  float64 `json:"forceMax"`
+		ForceMean float64 `json:"forceMean"`
+		// Heap in use per host, bytes; stand-ins are part of it.
+		Memory float64 `json:"memory"`
+	}
+
+	// usage is what the hosts had spent at a time.
+	usage struct {
+		at             time.Time
+		sent, received uint64
+		cpu            time.Duration
+		reads          int
+	}
+)
+
+const changeInterval = time.Second
+
+// Budget measures one point.
+func Budget(ctx context.Context, cfg BudgetConfig) (BudgetPoint, error) {
+	estate := &Estate{Pools: Pools(), Services: Services()}
+	w, err := NewWorld(ctx, WorldConfig{Estate: estate, Seed: 1, Net: cfg.Net, Scale: 0})
+	if err != nil {
+		return BudgetPoint{}, errors.Trace(err)
+	}
+	p, err := budgetPoint(w.ctx, w, estate, cfg)
+	if closeErr := w.Close(); err == nil {
+		err = closeErr
+	}
+	return p, errors.Trace(err)
+}
+
+func budgetPoint(ctx context.Context, w *World, estate *Estate, cfg BudgetConfig) (BudgetPoint, error) {
+	out := BudgetPoint{Kind: "budget", Hosts: cfg.Hosts}
+	estate.AddTargets("a", w.NextTarget)
+	estate.AddHosts("a", cfg.Hosts, w.NextHost)
+	for _, h := range estate.Hosts {
+		if err := w.StartEntry(h); err != nil {
+			return out, err
+		}
+	}
+	if _, err := publishAndAwait(ctx, w); err != nil {
+		return out, err
+	}
+	if err := pause(ctx, settleTime); err != nil {
+		return out, err
+	}
+	before := w.usage(ctx)
+	if err := pause(ctx, cfg.Duration); err != nil {
+		return out, err
+	}
+	idle := w.usage(ctx)
+	out.IdleSent, out.IdleReceived, out.IdleCPU = idle.since(before, cfg.Hosts)
+	out.Reads = float64(idle.reads-before.reads) / idle.at.Sub(before.at).Seconds()
+	if err := measureForce(ctx, w, cfg.Duration, &out); err != nil {
+		return out, err
+	}
+	after := w.usage(ctx)
+	out.ChangeSent, out.ChangeReceived, out.ChangeCPU = after.since(idle, cfg.Hosts)
+	var mem runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&mem)
+	out.Memory = float64(mem.HeapAlloc) / float64(cfg.Hosts)
+	return out, nil
+}
+
+// measureForce publishes a manifest each changeInterval for d.
+func measureForce(ctx context.Context, w *World, d time.Duration, out *BudgetPoint) error {
+	n := 0
+	total := time.Duration(0)
+	for end := time.Now().Add(d); time.Now().Before(end); n++ {
+		took, err := publishAndAwait(ctx, w)
+		if err != nil {
+			return err
+		}
+		total += took
+		out.ForceMax = max(out.ForceMax, took.Seconds())
+		if err := pause(ctx, changeInterval-min(took, changeInterval)); err != nil {
+			return err
+		}
+	}
+	out.Changes = float64(n) / d.Seconds()
+	out.ForceMean = total.Seconds() / float64(n)
+	return nil
+}
+
+func publishAndAwait(ctx context.Context, w *World) (time.Duration, error) {
+	version, err := w.Publish()
+	if err != nil {
+		return 0, errors.Trace(err)
+	}
+	return w.AwaitVersion(ctx, version)
+}
+
+func (w *World) usage(ctx context.Context) usage {
+	u := usage{at: time.Now(), cpu: cpuTime(), reads: w.Platform.Reads()}
+	for _, st := range w.Entries(ctx) {
+		u.sent += st.Counters[hsentry.CounterSent]
+		u.received += st.Counters[hsentry.CounterReceived]
+	}
+	return u
+}
+
+// since returns bytes sent and received per second and host, and percent of a
+// core per host.
+func (u usage) since(before usage, hosts int) (sent, received, cpu float64) {
+	seconds := u.at.Sub(before.at).Seconds() * float64(hosts)
+	sent = float64(u.sent-before.sent) / seconds
+	received = float64(u.received-before.received) / seconds
+	const percent = 100
+	cpu = (u.cpu - before.cpu).Seconds() / seconds * percent
+	return sent, received, cpu
+}
--- a/internal/hsmatrix/compare.go
+++ b/internal/hsmatrix/compare.go
@@ -17,6 +17,8 @@
 		Name string
 		// Nil means the product's core.
 		Make func(cfg hshome.Config) Decider
+		// Old homes hand nothing over, so that new ones ask for each flow.
+		NoHandover bool
 	}
 
 	// Comparison is what one policy did with the same seed, changes and faults.
@@ -40,6 +42,11 @@
 		Bytes float64 `json:"bytes"`
 		// Longest time from request to answer, seconds.
 		Slowest float64 `json:"slowest"`
+		// Over the whole run and all hosts: asks sent, trials made, and flows
+		// handed over.
+		Asks   uint64 `json:"asks"`
+		Trials uint64 `json:"trials"`
+		Handed uint64 `json:"handed"`
 	}
 
 	// hashCore is the baseline: the hash of the flow over the live targets,
@@ -61,9 +68,12 @@
 
 // Policies are the compared policies.
 var Policies = []Policy{
-	{"hash", func(cfg hshome.Config) Decider { return &hashCore{view: cfg.View} }},
-	{"table", func(cfg hshome.Config) Decider { return &hashCore{view: cfg.View, table: map[hsflow.Key]netip.Addr{}} }},
-	{"homes", nil},
+	{Name: "hash", Make: func(cfg hshome.Config) Decider { return &hashCore{view: cfg.View} }},
+	{Name: "table", Make: func(cfg hshome.Config) Decider {
+		return &hashCore{view: cfg.View, table: map[hsflow.Key]netip.Addr{}}
+	}},
+	{Name: "lazy", NoHandover: true},
+	{Name: "homes"},
 }
 
 // Compare runs one policy through target changes, a rolling replacement of all
@@ -95,6 +105,13 @@
 	t := s.focus()
 	_, out.Doubled, _ = s.N.Ledger.Totals()
 	out.Opened, out.Broken, out.Lost = t.Opened, t.Broken, t.Lost
+	for _, h := range s.N.Hosts {
+		if core := h.Core(); core != nil {
+			out.Asks += core.Stats.Asks
+			out.Trials += core.Stats.Trials
+			out.Handed += core.Stats.HandedIn
+		}
+	}
 	out.Slowest = float64(t.Latency.Max()) / float64(time.Second/time.Microsecond)
 	return out
 }
@@ -110,6 +127,7 @@
 		},
 	}
 	s.N.Make = p.Make
+	s.N.NoHandover = p.NoHandover
 	s.AddTargets()
 	s.AddHosts(6)
 	s.Publish()
--- a/internal/hsmatrix/net.go
+++ b/internal/hsmatrix/net.go
@@ -41,6 +41,8 @@
 		Watch func(to netip.Addr, p *hspacket.Packet)
 		// Sees every message that arrives; for diagnosis.
 		Trace func(what string, from, to netip.Addr, steer hspacket.Steer, p *hspacket.Packet)
+		// Loses all handovers.
+		NoHandover bool
 		// Makes the data path's core of hosts; nil means hshome.
 		Make func(cfg hshome.Config) Decider
 		// Packets that the fabric handed to entry hosts, and that these
@@ -294,7 +296,7 @@
 	to := o.Addr
 	n.After(3*linkDelay, func() {
 		peer := n.byHost[to]
-		if peer == nil || n.Cut(h.Addr, to) || n.Cut(to, h.Addr) {
+		if peer == nil || n.NoHandover || n.Cut(h.Addr, to) || n.Cut(to, h.Addr) {
 			return
 		}
 		peer.step(&hshome.Input{Kind: hshome.InEntries, Entries: entries}, nil)
--- a/internal/hsroster/message.go
+++ b/internal/hsroster/message.go
@@ -162,7 +162,10 @@
 		Leaving: r.leaving,
 		Gone:    r.gone,
 		Rumors:  r.pickRumors(),
-		Loads:   r.loads,
+	}
+	// An ack follows at once on the other's message; a ping's loads suffice.
+	if kind == hsschema.Heartbeat_KIND_PING {
+		hb.Loads = r.loads
 	}
 	r.out.Sends = append(r.out.Sends, Send{To: to, Message: hb})
 }
