Benchmark the decision with packets as the switch task sees them

Cause: the benchmark of a home alone sent packets from a host that was not listed, so it measured their refusal (65 ns); packets spread over a megabyte were cold, which they never are after decoding.

--- a/internal/hshome/core_test.go
+++ b/internal/hshome/core_test.go
@@ -15,29 +15,35 @@
 	"heatherstack.org/heatherstack/internal/hsrank"
 )
 
+const heldFlows = 500_000
+
 var (
 	start   = time.Unix(1_000_000, 0)
 	service = netip.MustParseAddrPort("198.51.100.1:443")
-	from    = netip.MustParseAddr("127.0.9.9")
+	zones   = []string{"a", "b", "c"}
+	// peer is listed and not alive.
+	peer = netip.MustParseAddr("127.0.0.200")
+	from = netip.MustParseAddr("127.0.9.9")
 )
 
-// newCore returns the core of the first of n entry hosts, before 15 targets in
-// one zone.
+// newCore returns the core of the first of n entry hosts, before 15 targets;
+// both stand in three zones.
 func newCore(t testing.TB, n int) *Core {
 	t.Helper()
 	m := &hsmanifest.Manifest{Version: 1}
 	status := map[string]hsrank.Status{}
 	for i := range n {
 		name := fmt.Sprintf("h%d", i)
-		m.Hosts = append(m.Hosts, hsmanifest.Host{Name: name, Zone: "a", Address: netip.AddrFrom4([4]byte{127, 0, 0, byte(i + 1)})})
+		m.Hosts = append(m.Hosts, hsmanifest.Host{Name: name, Zone: zones[i%len(zones)], Address: netip.AddrFrom4([4]byte{127, 0, 0, byte(i + 1)})})
 		status[name] = hsrank.Status{Alive: true}
 	}
+	m.Hosts = append(m.Hosts, hsmanifest.Host{Name: "z", Zone: "a", Address: peer})
 	s := hsmanifest.Service{Name: "s", Address: service, Proto: hsflow.TCP}
 	for i := range 15 {
 		addr := netip.AddrFrom4([4]byte{127, 0, 1, byte(i + 1)})
 		name := fmt.Sprintf("t%02d", i)
 		m.Targets = append(m.Targets, hsmanifest.Target{
-			ID: hsmanifest.NewTargetID(name, addr), Name: name, Address: addr, Zone: "a",
+			ID: hsmanifest.NewTargetID(name, addr), Name: name, Address: addr, Zone: zones[i%len(zones)],
 			Slots: 3, Connections: 1 << 20, Weight: 3,
 		})
 		s.Targets = append(s.Targets, i)
@@ -165,40 +171,76 @@
 	runtime.KeepAlive(c)
 }
 
+// BenchmarkHome is the decision of a home about packets that another host
+// forwarded to it.
 func BenchmarkHome(b *testing.B) {
-	const held = 500_000
-	c := newCore(b, 1)
-	for i := range held {
-		handshake(c, i)
+	c := heldCore(b)
+	cases := heldCases()
+	for i := range cases {
+		key := hsflow.NewKey(hsflow.TCP, cases[i].src, service)
+		f := c.flows.Get(&key, key.Hash())
+		cases[i].steer = hspacket.Steer{Kind: hspacket.KindForward, Hops: 1, Target: uint64(c.targets[f.target].id)}
 	}
-	packets := make([]*hspacket.Packet, 4096)
-	for i := range packets {
-		packets[i] = segment(i*(held/len(packets)), hspacket.ACK|hspacket.PSH)
-	}
-	benchSteps(b, c, packets)
+	benchSteps(b, c, cases, peer)
 }
 
+// BenchmarkLocal is the decision of a host that is ingress and home at once.
+func BenchmarkLocal(b *testing.B) {
+	benchSteps(b, heldCore(b), heldCases(), from)
+}
+
+// BenchmarkIngress is the decision of a host that forwards to another one.
 func BenchmarkIngress(b *testing.B) {
 	c := newCore(b, 6)
-	packets := make([]*hspacket.Packet, 0, 4096)
-	for i := 0; len(packets) < cap(packets); i++ {
-		p := segment(i, hspacket.ACK|hspacket.PSH)
-		key := p.Key()
+	cases := make([]benchCase, 0, benchCases)
+	for i := 0; len(cases) < cap(cases); i++ {
+		key := hsflow.NewKey(hsflow.TCP, caller(i), service)
 		if t := c.view.First(c.view.Service(key.Place()), key.Hash()); c.view.Targets[t].Home != 0 {
-			packets = append(packets, p)
+			cases = append(cases, benchCase{src: caller(i)})
 		}
 	}
-	benchSteps(b, c, packets)
+	benchSteps(b, c, cases, from)
+}
+
+// benchCase is what differs between the packets of a benchmark.
+type benchCase struct {
+	src   netip.AddrPort
+	steer hspacket.Steer
+}
+
+const benchCases = 4096
+
+// heldCore returns a core that holds heldFlows flows, as the only live host.
+func heldCore(b *testing.B) *Core {
+	b.Helper()
+	c := newCore(b, 1)
+	for i := range heldFlows {
+		handshake(c, i)
+	}
+	return c
+}
+
+// heldCases returns packets of flows from all over the table.
+func heldCases() []benchCase {
+	cases := make([]benchCase, benchCases)
+	for i := range cases {
+		cases[i].src = caller(i * (heldFlows / benchCases))
+	}
+	return cases
 }
 
-func benchSteps(b *testing.B, c *Core, packets []*hspacket.Packet) {
+// benchSteps runs a core over packets. As in the switch task, all are decoded
+// into one struct, while the flows come from all over the table.
+func benchSteps(b *testing.B, c *Core, cases []benchCase, from netip.Addr) {
 	b.Helper()
-	in := Input{Kind: InPacket, From: from}
+	p := segment(0, hspacket.ACK|hspacket.PSH)
+	in := Input{Kind: InPacket, From: from, Packet: p}
 	var out []Output
 	n := 0
 	b.ReportAllocs()
 	for b.Loop() {
-		in.Packet = packets[n%len(packets)]
+		p.Src = cases[n%len(cases)].src
+		p.Steer = cases[n%len(cases)].steer
 		out = c.Step(start, &in, out[:0])
 		n++
 	}
--- a/internal/hsrank/rank.go
+++ b/internal/hsrank/rank.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"math"
+	"math/bits"
 	"slices"
 
 	"heatherstack.org/heatherstack/internal/hsmanifest"
@@ -51,16 +52,12 @@
 // maxZones bounds the zones that one generation adds to the candidates.
 const maxZones = 4
 
-// mix returns a well-spread hash of a flow's hash and a seed (the finalizer of
-// MurmurHash3).
+// mix returns a well-spread hash of two well-spread hashes: both halves of a
+// 128-bit product, folded, as in wyhash.
 func mix(hash, seed uint64) uint64 {
-	h := hash ^ seed
-	h ^= h >> 33
-	h *= 0xff51afd7ed558ccd
-	h ^= h >> 33
-	h *= 0xc4ceb9fe1a85ec53
-	h ^= h >> 33
-	return h
+	const factor = 0x9E3779B97F4A7C15
+	high, low := bits.Mul64(hash^seed, factor)
+	return high ^ low
 }
 
 // score returns the weighted rendezvous score: the largest wins, and each
