Find flows that something has forgotten; look up less per packet

Cause: no test forgot a flow between home and target. The first one showed that a target which sends its own data again reset the clock of silence, and that a home which tries a silent flow on another home's target never learned that the target was answering others, so callers were left hanging. The decision looked flows and senders up twice and copied 160-byte outputs.

Change: silence ends only when the caller's data is acknowledged; a target's home denies a trial that stayed unanswered while the target was heard of before and after it; asks carry their body by pointer, the context is the core's own, the last sender is remembered.

--- a/internal/hshome/caller.go
+++ b/internal/hshome/caller.go
@@ -24,7 +24,11 @@
 
 // fromCaller takes a caller's packet as home of first, its first choice.
 func (c *Core) fromCaller(x *context, s *hsrank.Service, first uint32, hops uint8) {
-	f := c.flows.Get(&x.key, x.hash)
+	c.atHome(x, s, c.flows.Get(&x.key, x.hash), first, hops)
+}
+
+// atHome is fromCaller with the flow looked up; f is nil if it is not held.
+func (c *Core) atHome(x *context, s *hsrank.Service, f *flow, first uint32, hops uint8) {
 	if f == nil || (x.p.Seg.Opens() && f.reusable()) {
 		c.unknown(x, s, first, hops)
 		return
@@ -263,7 +267,7 @@
 // exact takes a caller's packet from a host that holds the flow as an
 // exception, or that tries it on a target homed here.
 func (c *Core) exact(p *hspacket.Packet, via netip.Addr) {
-	x := newContext(p)
+	x := c.newContext(p)
 	s := c.view.Service(x.key.Place())
 	at, ok := c.view.TargetByID(hsmanifest.TargetID(p.Steer.Target))
 	if s == nil || !ok || !s.Serves(at) {
@@ -274,23 +278,57 @@
 	f := c.flows.Get(&x.key, x.hash)
 	if f != nil && f.known() && (!p.Seg.Opens() || !f.reusable()) && !c.refuted(f, n, p, via) {
 		if f.target != n || p.Steer.Kind == hspacket.KindTry {
-			c.correct(&x, f, via)
+			c.correct(x, f, via)
 		}
-		c.onFlow(&x, s, f, p.Steer.Hops)
+		c.onFlow(x, s, f, p.Steer.Hops)
 		return
 	}
 	if f == nil || f.phase != lent || f.target != n {
-		f = c.takeExact(&x, n, via)
+		f = c.takeExact(x, n, via)
 		if f == nil {
 			return
 		}
 	}
+	if c.muteOnLoan(f) {
+		f.unanswered = 0
+		c.answer(via, hspacket.Steer{
+			Kind:   hspacket.KindDeny,
+			Target: p.Steer.Target,
+			Query:  &hspacket.Query{Flow: x.key},
+		})
+		return
+	}
+	c.noteAudible(f)
 	f.noteCaller(c.now, p.Seg)
 	if p.Seg.Flags.Has(hspacket.ACK) && f.marks&markReply == 0 {
 		f.reply = p.Seg.Ack
 		f.marks |= markReply
 	}
-	c.deliver(&x, f, p.Steer.Hops)
+	c.deliver(x, f, p.Steer.Hops)
+}
+
+// noteAudible notes whether the flow's target was heard shortly before a packet
+// is delivered that may stay unanswered. A packet that was delivered while the
+// target could not be heard proves nothing and does not count as unanswered.
+func (c *Core) noteAudible(f *flow) {
+	if f.unanswered != 0 && f.marks&audible != 0 {
+		return
+	}
+	f.unanswered = 0
+	f.marks &^= audible
+	if c.now-c.targets[f.target].heard <= tryTimeout {
+		f.marks |= audible
+	}
+}
+
+// muteOnLoan reports whether a flow that another host tries here got no answer
+// while its target answered others. Only the target's home can tell.
+func (c *Core) muteOnLoan(f *flow) bool {
+	if f.phase != lent || f.marks&audible == 0 || f.unanswered == 0 {
+		return false
+	}
+	heard := c.targets[f.target].heard
+	return c.now-f.unanswered >= tryTimeout && heard > f.unanswered && c.now-heard <= tryTimeout
 }
 
 // refuted reports whether a packet for target n shows that the exception held
@@ -330,5 +368,5 @@
 // correct tells a host whose exception is out of date, or that tries the flow,
 // where it is.
 func (c *Core) correct(x *context, f *flow, via netip.Addr) {
-	c.control(via, hspacket.Steer{Kind: hspacket.KindClaim, Target: uint64(c.targets[f.target].id), Flow: x.key})
+	c.control(via, hspacket.Steer{Kind: hspacket.KindClaim, Target: uint64(c.targets[f.target].id), Query: &hspacket.Query{Flow: x.key}})
 }
--- a/internal/hshome/core.go
+++ b/internal/hshome/core.go
@@ -113,6 +113,13 @@
 		sampleAt int
 		// True while the process may be acting on an old view.
 		paused bool
+		// Last outer source that was no target: the fabric's gateway. Most
+		// packets come from it, so its check is not repeated.
+		gateway netip.Addr
+		// Listed host that sent the last steering word, for the same reason.
+		peer netip.Addr
+		// Context of the input's packet.
+		context context
 		// Milliseconds since cfg.Start of the input under way.
 		now uint32
 		out []Output
--- a/internal/hshome/flow.go
+++ b/internal/hshome/flow.go
@@ -26,8 +26,11 @@
 		reply uint32
 		// Time of the last packet in either direction, ms.
 		seen uint32
-		// Time of the first caller data that no reply followed, ms; zero if none.
+		// Time of the first caller data that no reply acknowledged, ms; zero if
+		// none.
 		unanswered uint32
+		// Sequence number of that data.
+		waitSeq uint32
 	}
 
 	// context is a caller's packet on its way through the core.
@@ -75,6 +78,9 @@
 	// proven: caller and target were seen to agree on sequence numbers, so the
 	// target holds the caller's connection.
 	proven
+	// audible: the target was heard shortly before the packet that stands
+	// unanswered.
+	audible
 	// doubted: the target answered an RST before the flow was proven.
 	doubted
 )
@@ -135,13 +141,17 @@
 	}
 	if s.Len > 0 && f.unanswered == 0 {
 		f.unanswered = now
+		f.waitSeq = s.Seq
 	}
 }
 
 // noteReply updates the flow from a target's segment.
 func (f *flow) noteReply(now uint32, s hspacket.Segment) {
 	f.seen = now
-	f.unanswered = 0
+	// A target that only sends its own data again has not heard the caller.
+	if f.marks&datagrams != 0 || (s.Flags.Has(hspacket.ACK) && after(s.Ack, f.waitSeq)) {
+		f.unanswered = 0
+	}
 	end := s.End()
 	if s.Flags.Has(hspacket.SYN) {
 		f.isn = s.Seq
--- a/internal/hshome/ingress.go
+++ b/internal/hshome/ingress.go
@@ -17,9 +17,12 @@
 		c.fromFabric(p, from)
 		return
 	}
-	if _, listed := c.view.HostAt(from); !listed {
-		c.count(hscode.PeerUnknown)
-		return
+	if from != c.peer {
+		if _, listed := c.view.HostAt(from); !listed {
+			c.count(hscode.PeerUnknown)
+			return
+		}
+		c.peer = from
 	}
 	c.takeSample(&p.Steer)
 	switch p.Steer.Kind {
@@ -40,9 +43,12 @@
 
 // fromFabric takes a packet as ingress. No flow state is kept for it here.
 func (c *Core) fromFabric(p *hspacket.Packet, from netip.Addr) {
-	if t, ok := c.view.TargetAt(from); ok {
-		c.ingressReply(p, t)
-		return
+	if from != c.gateway {
+		if t, ok := c.view.TargetAt(from); ok {
+			c.ingressReply(p, t)
+			return
+		}
+		c.gateway = from
 	}
 	c.ingressCaller(p, 0)
 }
@@ -50,7 +56,7 @@
 // ingressCaller ranks the packet's flow and passes it to the home of its first
 // choice.
 func (c *Core) ingressCaller(p *hspacket.Packet, hops uint8) {
-	x := newContext(p)
+	x := c.newContext(p)
 	s := c.view.Service(x.key.Place())
 	if s == nil {
 		c.count(hscode.FlowNoService)
@@ -58,10 +64,10 @@
 	}
 	first := c.view.First(s, x.hash)
 	if first < 0 {
-		c.refuse(&x, hscode.FlowNoTarget)
+		c.refuse(x, hscode.FlowNoTarget)
 		return
 	}
-	c.toFirst(&x, s, first, hops)
+	c.toFirst(x, s, first, hops)
 }
 
 func (c *Core) toFirst(x *context, s *hsrank.Service, first int, hops uint8) {
@@ -83,25 +89,25 @@
 // circles; only a target that is not listed here, or takes no new flows any
 // more, is ranked again, and the hop count bounds that.
 func (c *Core) forwarded(p *hspacket.Packet) {
-	x := newContext(p)
+	x := c.newContext(p)
 	s := c.view.Service(x.key.Place())
 	if s == nil {
 		c.count(hscode.FlowNoService)
 		return
 	}
 	first, ok := c.view.TargetByID(hsmanifest.TargetID(p.Steer.Target))
-	held := c.flows.Get(&x.key, x.hash) != nil
-	if !ok || !s.Serves(first) || (!held && !c.view.Targets[first].Live) {
+	f := c.flows.Get(&x.key, x.hash)
+	if !ok || !s.Serves(first) || (f == nil && !c.view.Targets[first].Live) {
 		if first = c.view.First(s, x.hash); first < 0 {
-			c.refuse(&x, hscode.FlowNoTarget)
+			c.refuse(x, hscode.FlowNoTarget)
 			return
 		}
 	}
-	if held {
-		c.fromCaller(&x, s, c.ofView[first], p.Steer.Hops)
+	if f != nil {
+		c.atHome(x, s, f, c.ofView[first], p.Steer.Hops)
 		return
 	}
-	c.toFirst(&x, s, first, p.Steer.Hops)
+	c.toFirst(x, s, first, p.Steer.Hops)
 }
 
 // ingressReply passes a target's packet to the target's home.
@@ -168,8 +174,13 @@
 	c.emit(Output{Kind: ToCaller, Data: data})
 }
 
-func newContext(p *hspacket.Packet) context {
-	x := context{p: p, key: p.Key()}
+// newContext returns the context of an input's packet. It is the core's own and
+// valid until the next input, so that no packet costs an allocation.
+func (c *Core) newContext(p *hspacket.Packet) *context {
+	x := &c.context
+	x.p = p
+	x.key = p.Key()
 	x.hash = x.key.Hash()
+	x.data = nil
 	return x
 }
--- a/internal/hshome/recover.go
+++ b/internal/hshome/recover.go
@@ -146,7 +146,10 @@
 
 func (c *Core) sendAsk(host netip.Addr, w *wait, seg hspacket.Segment) {
 	c.Stats.Asks++
-	c.control(host, hspacket.Steer{Kind: hspacket.KindAsk, Flow: w.key, Seq: seg.Seq, Ack: seg.Ack})
+	c.control(host, hspacket.Steer{
+		Kind:  hspacket.KindAsk,
+		Query: &hspacket.Query{Flow: w.key, Seq: seg.Seq, Ack: seg.Ack},
+	})
 }
 
 func (c *Core) control(host netip.Addr, s hspacket.Steer) {
@@ -177,15 +180,15 @@
 
 // asked answers another home's ask.
 func (c *Core) asked(p *hspacket.Packet, via netip.Addr) {
-	key := p.Steer.Flow
+	key := p.Steer.Query.Flow
 	f := c.flows.Get(&key, key.Hash())
 	s := c.view.Service(key.Place())
 	if s != nil && f != nil && c.claims(f, s, p) {
 		c.Stats.Claims++
-		c.control(via, hspacket.Steer{Kind: hspacket.KindClaim, Target: uint64(c.targets[f.target].id), Flow: key})
+		c.control(via, hspacket.Steer{Kind: hspacket.KindClaim, Target: uint64(c.targets[f.target].id), Query: &hspacket.Query{Flow: key}})
 		return
 	}
-	answer := hspacket.Steer{Kind: hspacket.KindDeny, Flow: key}
+	answer := hspacket.Steer{Kind: hspacket.KindDeny, Query: &hspacket.Query{Flow: key}}
 	if f == nil && s != nil && c.sureOfAll(s, &key) {
 		answer.Sure = 1
 	}
@@ -207,10 +210,10 @@
 	if t.Home != c.self() && t.Before != c.self() {
 		return false
 	}
-	if p.Steer.Flow.Proto() == hsflow.UDP {
+	if p.Steer.Query.Flow.Proto() == hsflow.UDP {
 		return true
 	}
-	return f.marks&markHeard != 0 && f.plausible(p.Steer.Seq, p.Steer.Ack)
+	return f.marks&markHeard != 0 && f.plausible(p.Steer.Query.Seq, p.Steer.Query.Ack)
 }
 
 // sureOfAll reports whether every flow of the candidates that are or were
@@ -231,7 +234,7 @@
 
 // claimed takes the answer that a flow belongs to a target.
 func (c *Core) claimed(p *hspacket.Packet) {
-	key := p.Steer.Flow
+	key := p.Steer.Query.Flow
 	s := c.view.Service(key.Place())
 	at, ok := c.view.TargetByID(hsmanifest.TargetID(p.Steer.Target))
 	f := c.flows.Get(&key, key.Hash())
@@ -252,9 +255,9 @@
 // denied takes the answer that a host does not know a flow, or that a target
 // that it is home of denied a trial.
 func (c *Core) denied(p *hspacket.Packet, via netip.Addr) {
-	hash := p.Steer.Flow.Hash()
-	w := c.waits[p.Steer.Flow]
-	f := c.flows.Get(&p.Steer.Flow, hash)
+	hash := p.Steer.Query.Flow.Hash()
+	w := c.waits[p.Steer.Query.Flow]
+	f := c.flows.Get(&p.Steer.Query.Flow, hash)
 	if f == nil {
 		return
 	}
@@ -262,7 +265,7 @@
 	if w == nil {
 		// The exception held here is wrong; the next packet starts a recovery.
 		if byTarget && c.home(f.target) != c.self() {
-			c.drop(f, &p.Steer.Flow, hash)
+			c.drop(f, &p.Steer.Query.Flow, hash)
 		}
 		return
 	}
@@ -532,7 +535,7 @@
 		c.count(hscode.FlowLate)
 		return
 	}
-	answer := hspacket.Steer{Kind: hspacket.KindDeny, Target: uint64(c.targets[n].id), Flow: key}
+	answer := hspacket.Steer{Kind: hspacket.KindDeny, Target: uint64(c.targets[n].id), Query: &hspacket.Query{Flow: key}}
 	if p.Seg.Flags.Has(hspacket.RST) || !f.answers(p.Seg) {
 		c.count(hscode.FlowTrialReset)
 		c.drop(f, &key, key.Hash())
--- a/internal/hshome/target.go
+++ b/internal/hshome/target.go
@@ -42,6 +42,8 @@
 	first := c.view == nil
 	old := c.view
 	c.view = v
+	c.gateway = netip.Addr{}
+	c.peer = netip.Addr{}
 	for i := range c.targets {
 		c.targets[i].at = -1
 	}
@@ -138,6 +140,9 @@
 
 // takeSample notes the load that a steering word carries.
 func (c *Core) takeSample(s *hspacket.Steer) {
+	if s.LoadTarget == 0 {
+		return
+	}
 	if n, ok := c.byID[hsmanifest.TargetID(s.LoadTarget)]; ok {
 		c.targets[n].reported = int(s.LoadFlows)
 	}
--- a/internal/hsmatrix/net.go
+++ b/internal/hsmatrix/net.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"heatherstack.org/heatherstack/internal/hscode"
+	"heatherstack.org/heatherstack/internal/hsflow"
 	"heatherstack.org/heatherstack/internal/hshome"
 	"heatherstack.org/heatherstack/internal/hslab"
 	"heatherstack.org/heatherstack/internal/hsmanifest"
@@ -37,6 +38,9 @@
 		// Manifest on the platform, and whether it can be read.
 		Published    *hsmanifest.Manifest
 		PlatformDown bool
+		// Reports whether something in front of a target drops a flow's packets
+		// in both directions; may be nil.
+		Forget func(target netip.Addr, flow hsflow.Key) bool
 		// Sees each IP packet that reaches a target or a caller.
 		Watch func(to netip.Addr, p *hspacket.Packet)
 		// Sees every message that arrives; for diagnosis.
@@ -190,7 +194,7 @@
 		return
 	}
 	s := n.Servers[m.to]
-	if s == nil || code != hscode.OK {
+	if s == nil || code != hscode.OK || n.forgotten(m.to, p.Key()) {
 		return
 	}
 	if n.Watch != nil {
@@ -249,10 +253,16 @@
 
 func (n *Net) flushServer(a netip.Addr, s *hslab.Server) {
 	for _, spec := range s.Take() {
-		n.sprayOut(a, spec)
+		if !n.forgotten(a, hsflow.NewKey(spec.Proto, spec.Dst, spec.Src)) {
+			n.sprayOut(a, spec)
+		}
 	}
 }
 
+func (n *Net) forgotten(target netip.Addr, flow hsflow.Key) bool {
+	return n.Forget != nil && n.Forget(target, flow)
+}
+
 // sprayOut hands a packet to any entry host, as the fabric does.
 func (n *Net) sprayOut(from netip.Addr, s hspacket.Spec) {
 	inner, err := hspacket.Write(s)
--- a/internal/hsmatrix/scene.go
+++ b/internal/hsmatrix/scene.go
@@ -32,6 +32,8 @@
 	// seen says which steps of the watched connection have been reached.
 	seen struct {
 		syn, synAck, request, work, answer, fin bool
+		// Target that the connection's packets reach.
+		target netip.Addr
 		// Bytes of the first request that reached a target.
 		bytes int
 	}
@@ -353,6 +355,7 @@
 	if p.Src.Addr() != focusAddr {
 		return
 	}
+	s.seen.target = to
 	s.seen.syn = s.seen.syn || p.Seg.Flags.Has(hspacket.SYN)
 	s.seen.fin = s.seen.fin || p.Seg.Flags.Has(hspacket.FIN)
 	s.seen.request = s.seen.request || p.Seg.Len > 0
--- a/internal/hspacket/fuzz_test.go
+++ b/internal/hspacket/fuzz_test.go
@@ -21,7 +21,7 @@
 			f.Add(tunnelled(f, s, steer))
 		}
 	}
-	f.Add(AppendControl(nil, &Steer{Kind: KindAsk, Seq: 5, Ack: 6}))
+	f.Add(AppendControl(nil, &Steer{Kind: KindAsk, Query: &Query{Seq: 5, Ack: 6}}))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		var d Decoder
 		var p Packet
--- a/internal/hspacket/steer.go
+++ b/internal/hspacket/steer.go
@@ -27,7 +27,12 @@
 		// A target homed at the sender and its open flows; zero if none.
 		LoadTarget uint64
 		LoadFlows  uint32
-		// Flow that an ask, claim or deny is about.
+		// What an ask, claim or deny is about; nil for other kinds.
+		Query *Query
+	}
+
+	// Query is the body of an ask, claim or deny.
+	Query struct {
 		Flow hsflow.Key
 		// For KindAsk: numbers of the caller's segment.
 		Seq uint32
@@ -107,15 +112,15 @@
 	return start
 }
 
-// AppendControl appends an ask, claim or deny to dst.
+// AppendControl appends an ask, claim or deny, which must have a query, to dst.
 func AppendControl(dst []byte, s *Steer) []byte {
 	var b [ControlSize]byte
 	putBase(b[:], optionHeader+controlData, flagControl|flagCritical, etherIPv4)
 	putSteer(b[baseHeader:], s, controlData)
 	d := b[baseHeader+optionHeader:]
-	copy(d[flowAt:], s.Flow[:])
-	binary.BigEndian.PutUint32(d[seqAt:], s.Seq)
-	binary.BigEndian.PutUint32(d[ackAt:], s.Ack)
+	copy(d[flowAt:], s.Query.Flow[:])
+	binary.BigEndian.PutUint32(d[seqAt:], s.Query.Seq)
+	binary.BigEndian.PutUint32(d[ackAt:], s.Query.Ack)
 	return append(dst, b[:]...)
 }
 
@@ -159,9 +164,11 @@
 		return false
 	}
 	if s.Kind.Control() {
-		copy(s.Flow[:], d[flowAt:seqAt])
-		s.Seq = binary.BigEndian.Uint32(d[seqAt:])
-		s.Ack = binary.BigEndian.Uint32(d[ackAt:])
+		s.Query = &Query{
+			Flow: hsflow.Key(d[flowAt:seqAt]),
+			Seq:  binary.BigEndian.Uint32(d[seqAt:]),
+			Ack:  binary.BigEndian.Uint32(d[ackAt:]),
+		}
 	}
 	return true
 }
