Keep flows with the service that they were opened to when its address moves

Cause: a flow was judged by who has its address now, so giving an address to another service reset every connection that was open to it.

Change: a flow remembers its service; homes of both services' candidates are asked, replies and handovers are accepted from either's targets for their own flows, and nothing is tried. The matrix has address-moves.

A flow whose home crashes after its address moved is lost.

--- a/internal/hscode/hscode.go
+++ b/internal/hscode/hscode.go
@@ -140,7 +140,7 @@
 	{FlowTrialReset, "flow-trial-reset", "A reset that answered a trial was swallowed.", "Nothing."},
 	{FlowHops, "flow-hops", "A packet was forwarded too often.", "Compare versions in force on the hosts."},
 	{FlowTooOld, "flow-too-old", "A datagram waited in a paused process and was dropped.", "Find out what paused it."},
-	{FlowAddressMoved, "flow-address-moved", "The service's address belongs to another service now; the flow was reset.", "Leave an address unused for a while before reuse."},
+	{FlowAddressMoved, "flow-address-moved", "The flow's address belongs to another service now and no home knows the flow; it was reset.", "Keep the earlier service in the manifest until its flows have ended."},
 	{FlowUnanswered, "flow-unanswered", "A candidate neither denied nor answered; the caller was told nothing and may try again.", "Look for targets or zones that cannot be reached."},
 	{PeerUnknown, "peer-unknown", "A steering or control packet came from an address outside the manifest's host list.", "Look for a spoofing sender or a missing host."},
 	{PeerMAC, "peer-mac", "A control message's MAC is wrong.", "Compare the key setting of the hosts."},
--- a/internal/hshome/caller.go
+++ b/internal/hshome/caller.go
@@ -53,7 +53,7 @@
 		return
 	}
 	at := c.targets[f.target].at
-	if at < 0 || !s.Serves(at) {
+	if !c.owned(f, at) {
 		c.gone(x, s, f)
 		return
 	}
@@ -130,7 +130,7 @@
 	case x.p.Proto == hsflow.UDP && !c.mustAsk(x, s, first):
 		c.openFlow(x, s, first, hops)
 	case x.p.Proto == hsflow.UDP:
-		if f := c.put(x, first, asking); f != nil {
+		if f := c.put(x, s, first, asking); f != nil {
 			c.recover(x, s, f)
 		}
 	case x.p.Seg.Opens():
@@ -138,7 +138,7 @@
 	case x.p.Seg.Flags.Has(hspacket.RST):
 		c.resetAll(x, s)
 	default:
-		if f := c.put(x, first, asking); f != nil {
+		if f := c.put(x, s, first, asking); f != nil {
 			c.recover(x, s, f)
 		}
 	}
@@ -147,7 +147,7 @@
 // mustAsk reports whether a datagram without an entry may belong to a flow
 // that another host knows.
 func (c *Core) mustAsk(x *context, s *hsrank.Service, first uint32) bool {
-	if !c.sure(first, x.p.Proto) {
+	if !c.sure(first, x.p.Proto) || s.Moved {
 		return true
 	}
 	var room [hsrank.MaxCandidates]int
@@ -160,6 +160,9 @@
 // the target that holds the connection finds its sequence number right.
 func (c *Core) resetAll(x *context, s *hsrank.Service) {
 	var room [hsrank.MaxCandidates]int
+	if s.Moved {
+		return
+	}
 	for _, t := range c.view.Candidates(s, x.hash, room[:0]) {
 		c.emit(Output{Kind: ToTarget, Addr: c.view.Targets[t].Address, Data: x.data})
 	}
@@ -176,7 +179,7 @@
 		c.refuse(x, hscode.FlowFull)
 		return
 	}
-	f := c.put(x, n, opening)
+	f := c.put(x, s, n, opening)
 	if f == nil {
 		return
 	}
@@ -226,8 +229,9 @@
 	return ta.Live && uint64(fill)*uint64(tb.Weight) < uint64(c.fill(b))*uint64(ta.Weight)
 }
 
-// put holds the flow with target n, or returns nil if the table is full.
-func (c *Core) put(x *context, n uint32, p phase) *flow {
+// put holds the flow of service s with target n, or returns nil if the table is
+// full.
+func (c *Core) put(x *context, s *hsrank.Service, n uint32, p phase) *flow {
 	f := c.flows.Get(&x.key, x.hash)
 	if f == nil && c.flows.Len() >= c.cfg.MaxFlows {
 		c.refuse(x, hscode.FlowTableFull)
@@ -238,6 +242,7 @@
 	}
 	f = c.flows.Put(&x.key, x.hash)
 	*f = newFlow(c.now, x.p.Proto)
+	c.join(f, s)
 	c.bind(f, n, p)
 	return f
 }
@@ -270,12 +275,12 @@
 	x := c.newContext(p)
 	s := c.view.Service(x.key.Place())
 	at, ok := c.view.TargetByID(hsmanifest.TargetID(p.Steer.Target))
-	if s == nil || !ok || !s.Serves(at) {
+	f := c.flows.Get(&x.key, x.hash)
+	if s == nil || !ok || (!s.Serves(at) && (f == nil || !c.owned(f, at))) {
 		c.count(hscode.FlowForeign)
 		return
 	}
 	n := c.ofView[at]
-	f := c.flows.Get(&x.key, x.hash)
 	if f != nil && f.known() && (!p.Seg.Opens() || !f.reusable()) && !c.refuted(f, n, p, via) {
 		if f.target != n || p.Steer.Kind == hspacket.KindTry {
 			c.correct(x, f, via)
@@ -284,7 +289,7 @@
 		return
 	}
 	if f == nil || f.phase != lent || f.target != n {
-		f = c.takeExact(x, n, via)
+		f = c.takeExact(x, s, n, via)
 		if f == nil {
 			return
 		}
@@ -344,13 +349,13 @@
 
 // takeExact holds a flow that another host says is target n's. A flow that was
 // under recovery here ends it: the other host is at least as far.
-func (c *Core) takeExact(x *context, n uint32, via netip.Addr) *flow {
+func (c *Core) takeExact(x *context, s *hsrank.Service, n uint32, via netip.Addr) *flow {
 	p := lent
 	if x.p.Seg.Opens() || x.p.Proto == hsflow.UDP {
 		p = opening
 	}
 	w := c.waits[x.key]
-	f := c.put(x, n, p)
+	f := c.put(x, s, n, p)
 	if f == nil {
 		return nil
 	}
--- a/internal/hshome/core.go
+++ b/internal/hshome/core.go
@@ -105,6 +105,12 @@
 		// Addresses of entry hosts that flows refer to by index; never shrinks.
 		hosts  []netip.Addr
 		byHost map[netip.Addr]uint16
+		// Names of services that flows refer to by index; never shrinks. A flow
+		// belongs to its service even if the address is another's by now.
+		services  []string
+		byService map[string]uint16
+		// Index into View.Services for each of services, or -1.
+		serviceAt []int
 		// Index into targets for each target of the view.
 		ofView []uint32
 		// Targets homed here, as indices into targets, and the one whose load
@@ -193,13 +199,14 @@
 // New returns a core without flows.
 func New(cfg Config) *Core {
 	c := &Core{
-		cfg:     cfg,
-		flows:   hsflow.NewTable[flow](),
-		waits:   map[hsflow.Key]*wait{},
-		byID:    map[hsmanifest.TargetID]uint32{},
-		byHost:  map[netip.Addr]uint16{},
-		batches: map[netip.Addr][]Entry{},
-		Counts:  map[hscode.Code]uint64{},
+		cfg:       cfg,
+		flows:     hsflow.NewTable[flow](),
+		waits:     map[hsflow.Key]*wait{},
+		byID:      map[hsmanifest.TargetID]uint32{},
+		byHost:    map[netip.Addr]uint16{},
+		byService: map[string]uint16{},
+		batches:   map[netip.Addr][]Entry{},
+		Counts:    map[hscode.Code]uint64{},
 	}
 	c.setView(cfg.View)
 	return c
--- a/internal/hshome/flow.go
+++ b/internal/hshome/flow.go
@@ -18,6 +18,8 @@
 		// Host that lent the flow for a trial, as index into Core.hosts; valid
 		// in phase lent.
 		via uint16
+		// Index into Core.services of the service that it was opened to.
+		service uint16
 		// Initial sequence number of the target; valid with markHeard.
 		isn uint32
 		// Next sequence number expected of the caller; valid with markCaller.
--- a/internal/hshome/recover.go
+++ b/internal/hshome/recover.go
@@ -112,7 +112,7 @@
 // or silently in use stands last.
 func (c *Core) candidates(w *wait, s *hsrank.Service, x *context, previous uint32) {
 	var room [hsrank.MaxCandidates]int
-	for _, t := range c.view.Candidates(s, x.hash, room[:0]) {
+	for _, t := range c.possible(s, &x.key, room[:0]) {
 		w.cands = append(w.cands, c.ofView[t])
 	}
 	at := c.targets[previous].at
@@ -183,7 +183,7 @@
 	key := p.Steer.Query.Flow
 	f := c.flows.Get(&key, key.Hash())
 	s := c.view.Service(key.Place())
-	if s != nil && f != nil && c.claims(f, s, p) {
+	if s != nil && f != nil && c.claims(f, p) {
 		c.Stats.Claims++
 		c.control(via, hspacket.Steer{Kind: hspacket.KindClaim, Target: uint64(c.targets[f.target].id), Query: &hspacket.Query{Flow: key}})
 		return
@@ -198,12 +198,12 @@
 // claims reports whether the flow held here answers an ask. Only a host that
 // is or was the target's home knows; an exception is hearsay, and its target's
 // home is asked as well.
-func (c *Core) claims(f *flow, s *hsrank.Service, p *hspacket.Packet) bool {
+func (c *Core) claims(f *flow, p *hspacket.Packet) bool {
 	if f.phase != open && f.phase != opening {
 		return false
 	}
 	at := c.targets[f.target].at
-	if at < 0 || !s.Serves(at) {
+	if !c.owned(f, at) {
 		return false
 	}
 	t := &c.view.Targets[at]
@@ -220,7 +220,7 @@
 // homed here would be known here.
 func (c *Core) sureOfAll(s *hsrank.Service, key *hsflow.Key) bool {
 	var room [hsrank.MaxCandidates]int
-	for _, t := range c.view.Candidates(s, key.Hash(), room[:0]) {
+	for _, t := range c.possible(s, key, room[:0]) {
 		v := &c.view.Targets[t]
 		if v.Home != c.self() && v.Before != c.self() {
 			continue
@@ -238,10 +238,15 @@
 	s := c.view.Service(key.Place())
 	at, ok := c.view.TargetByID(hsmanifest.TargetID(p.Steer.Target))
 	f := c.flows.Get(&key, key.Hash())
-	if s == nil || !ok || !s.Serves(at) || f == nil {
+	if s == nil || !ok || f == nil {
+		return
+	}
+	holder := c.holder(s, at)
+	if holder == nil {
 		return
 	}
 	n := c.ofView[at]
+	c.join(f, holder)
 	if w := c.waits[key]; w != nil {
 		tried := f.phase == trying && f.target == n
 		c.settle(w, f, n, !tried)
@@ -336,9 +341,7 @@
 		return
 	}
 	if s.Moved {
-		// The flow may be of the address's earlier service; a trial on targets
-		// of the present one could deliver it to the wrong service.
-		c.giveUp(w, hscode.FlowAddressMoved)
+		c.decideMoved(w, f)
 		return
 	}
 	if w.key.Proto() == hsflow.UDP {
@@ -349,6 +352,17 @@
 	c.try(w, f, 0)
 }
 
+// decideMoved ends the recovery of a flow to an address that another service
+// had. A trial could deliver it to the wrong service. While a home that may know
+// it cannot be asked, the caller is told nothing and may try again.
+func (c *Core) decideMoved(w *wait, f *flow) {
+	if w.unsure != 0 && w.key.Proto() == hsflow.TCP {
+		c.abandon(w, f)
+		return
+	}
+	c.giveUp(w, hscode.FlowAddressMoved)
+}
+
 // orderTrials puts the candidates that no home vouched for first.
 func (c *Core) orderTrials(w *wait) {
 	ordered := make([]uint32, 0, len(w.cands))
--- a/internal/hshome/reply.go
+++ b/internal/hshome/reply.go
@@ -4,22 +4,23 @@
 	"heatherstack.org/heatherstack/internal/hscode"
 	"heatherstack.org/heatherstack/internal/hsflow"
 	"heatherstack.org/heatherstack/internal/hspacket"
+	"heatherstack.org/heatherstack/internal/hsrank"
 )
 
 // fromTarget takes a packet that target at sent, as the target's home.
 func (c *Core) fromTarget(p *hspacket.Packet, at int) {
 	key := p.ReplyKey()
 	s := c.view.Service(key.Place())
-	if s == nil || !s.Serves(at) {
+	hash := key.Hash()
+	f := c.flows.Get(&key, hash)
+	if s == nil || !c.mayReply(s, f, at) {
 		c.count(hscode.FlowForeign)
 		return
 	}
 	n := c.ofView[at]
 	c.targets[n].heard = c.now
-	hash := key.Hash()
-	f := c.flows.Get(&key, hash)
 	if f == nil {
-		c.adopt(p, key, hash, n)
+		c.adopt(p, key, c.holder(s, at), n)
 		return
 	}
 	switch f.phase {
@@ -32,16 +33,23 @@
 	}
 }
 
+// mayReply reports whether target at may speak for s's address, to the caller
+// of f if that is not nil.
+func (c *Core) mayReply(s *hsrank.Service, f *flow, at int) bool {
+	return s.Serves(at) || (f != nil && c.owned(f, at)) || (f == nil && c.holder(s, at) != nil)
+}
+
 // adopt learns a flow from a reply: the target that sends it holds it. An RST
 // says the opposite and is swallowed; the caller's next packet finds out.
-func (c *Core) adopt(p *hspacket.Packet, key hsflow.Key, hash uint64, n uint32) {
+func (c *Core) adopt(p *hspacket.Packet, key hsflow.Key, s *hsrank.Service, n uint32) {
 	if p.Seg.Flags.Has(hspacket.RST) {
 		c.count(hscode.FlowTrialReset)
 		return
 	}
 	if c.flows.Len() < c.cfg.MaxFlows {
-		f := c.flows.Put(&key, hash)
+		f := c.flows.Put(&key, key.Hash())
 		*f = newFlow(c.now, p.Proto)
+		c.join(f, s)
 		// The caller's ACK decides about a SYN-ACK; see doubtful.
 		as := open
 		if p.Seg.Flags.Has(hspacket.SYN) {
--- a/internal/hshome/sweep.go
+++ b/internal/hshome/sweep.go
@@ -124,7 +124,11 @@
 
 func (c *Core) takeEntry(e *Entry, n uint32) {
 	s := c.view.Service(e.Flow.Place())
-	if s == nil || !s.Serves(c.targets[n].at) {
+	if s == nil {
+		return
+	}
+	holder := c.holder(s, c.targets[n].at)
+	if holder == nil {
 		return
 	}
 	hash := e.Flow.Hash()
@@ -134,6 +138,7 @@
 	}
 	c.Stats.HandedIn++
 	if w := c.waits[e.Flow]; w != nil && f != nil {
+		c.join(f, holder)
 		c.settle(w, f, n, true)
 		return
 	}
@@ -143,6 +148,7 @@
 	f = c.flows.Put(&e.Flow, hash)
 	c.release(f)
 	*f = newFlow(c.now, e.Flow.Proto())
+	c.join(f, holder)
 	f.isn, f.caller, f.reply = e.ISN, e.Caller, e.Reply
 	f.marks |= markCaller | markReply | markHeard | proven
 	c.bind(f, n, open)
--- a/internal/hshome/target.go
+++ b/internal/hshome/target.go
@@ -55,6 +55,7 @@
 			c.mine = append(c.mine, c.ofView[i])
 		}
 	}
+	c.bindServices()
 	c.handing = true
 	c.handoverAt = 0
 	c.restartWaits()
--- a/internal/hslab/client.go
+++ b/internal/hslab/client.go
@@ -120,6 +120,13 @@
 	c.recycle = true
 }
 
+// Retarget makes the caller dial another address from now on, if it dials old.
+func (c *Client) Retarget(old, next netip.AddrPort) {
+	if c.cfg.Script.Service == old {
+		c.cfg.Script.Service = next
+	}
+}
+
 // Idle reports whether a stopped caller has finished.
 func (c *Client) Idle() bool {
 	return c.stopping && c.pending.id == 0 && (c.conn == nil || c.conn.Done())
--- a/internal/hslab/server.go
+++ b/internal/hslab/server.go
@@ -84,6 +84,11 @@
 	}
 }
 
+// Listen lets the target run another service.
+func (s *Server) Listen(l Listen) {
+	s.listens = append(s.listens, l)
+}
+
 // Connections returns the number of open connections.
 func (s *Server) Connections() int {
 	n := 0
@@ -104,7 +109,7 @@
 
 // Input takes an IP packet from a caller.
 func (s *Server) Input(now time.Time, p *hspacket.Packet) {
-	if s.listen(p) == nil {
+	if s.find(p) == nil {
 		s.ledger.Stray()
 	}
 	if p.Proto == hsflow.UDP {
@@ -162,7 +167,7 @@
 }
 
 func (s *Server) open(now time.Time, p *hspacket.Packet, key hsflow.Key) *session {
-	l := s.listen(p)
+	l := s.find(p)
 	if l == nil || !p.Seg.Opens() {
 		s.refuse(p)
 		return nil
@@ -188,7 +193,7 @@
 	s.out = append(s.out, hspacket.Spec{Proto: hsflow.TCP, Src: p.Dst, Dst: p.Src, Seg: seg})
 }
 
-func (s *Server) listen(p *hspacket.Packet) *Listen {
+func (s *Server) find(p *hspacket.Packet) *Listen {
 	for i := range s.listens {
 		if s.listens[i].Address == p.Dst && s.listens[i].Proto == p.Proto {
 			return &s.listens[i]
@@ -230,7 +235,7 @@
 }
 
 func (s *Server) datagram(now time.Time, p *hspacket.Packet) {
-	l := s.listen(p)
+	l := s.find(p)
 	f, ok, good := parseFrame(payload(p))
 	if l == nil || !ok || !good {
 		return
--- a/internal/hsmatrix/fault.go
+++ b/internal/hsmatrix/fault.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"heatherstack.org/heatherstack/internal/hslab"
 )
 
 // Fault is something that happens to a scene.
@@ -19,6 +21,15 @@
 	// fabricLag is the time that the fabric takes to notice a host's end.
 	fabricLag = time.Second
 	cutTime   = 2 * time.Second
+	// handshakeTime is the time after which no caller dials an old address.
+	handshakeTime = 3500 * time.Millisecond
+)
+
+// movedAddress is where callers find the first service when its address is
+// given away, and unusedAddress is the one that it keeps in the manifest.
+var (
+	movedAddress  = netip.MustParseAddrPort("198.51.100.99:443")
+	unusedAddress = netip.MustParseAddrPort("198.51.100.98:443")
 )
 
 // Faults are all faults, planned changes first.
@@ -44,6 +55,7 @@
 		replaceTargets(s)
 	}},
 	{"three-manifests-in-flight", true, 0, threeManifests},
+	{"address-moves", true, 0, moveAddress},
 	{"host-crash", false, time.Second, func(s *Scene) { s.crash(s.Home()) }},
 	{"two-hosts-crash", false, time.Second, func(s *Scene) { s.crash(s.Home()); s.crash(s.other()) }},
 	{"zone-hosts-crash", false, time.Second, func(s *Scene) { s.crash(s.ZoneOf(s.Home())...) }},
@@ -68,6 +80,52 @@
 	{"crash-as-targets-are-replaced", false, time.Second, func(s *Scene) { replaceTargets(s); s.crash(s.Home()) }},
 }
 
+// moveAddress gives the address of the first service away to a new service on
+// other targets, as careful operators do: first the old service gets a second
+// address, which callers use from then on, and once no handshake is under way
+// the old address changes hands. Connections that were open to it stay with the
+// targets of the old service.
+func moveAddress(s *Scene) {
+	first := &s.Estate.Services[0]
+	if first.Script.Service == unusedAddress {
+		return
+	}
+	taken := first.Script.Service
+	second := *first
+	second.Script.Name = "checkin2"
+	second.Script.Service = movedAddress
+	s.addService(second)
+	for _, c := range s.N.Clients {
+		c.Retarget(taken, movedAddress)
+	}
+	s.N.After(handshakeTime, func() {
+		s.Estate.Services[0].Script.Service = unusedAddress
+		other := s.Estate.Services[3]
+		other.Script.Name = "extra"
+		other.Script.Number = uint32(len(s.Estate.Services) + 1)
+		other.Script.Service = taken
+		s.addService(other)
+	})
+}
+
+// addService publishes another service, which its pool's targets run.
+func (s *Scene) addService(p hslab.ServicePlan) {
+	s.Estate.Services = append(s.Estate.Services, p)
+	for _, t := range s.Estate.Targets {
+		if t.Pool != p.Pool {
+			continue
+		}
+		s.N.Servers[t.Address].Listen(hslab.Listen{
+			Number:     p.Script.Number,
+			Address:    p.Script.Service,
+			Proto:      p.Script.Proto,
+			Idempotent: p.Script.Idempotent,
+			Work:       p.Work,
+		})
+	}
+	s.Publish()
+}
+
 // leaveTargets marks every nth of the first targets as leaving.
 func (s *Scene) leaveTargets(first, every int) {
 	for i := 0; i < first; i += every {
--- a/internal/hsrank/view.go
+++ b/internal/hsrank/view.go
@@ -70,7 +70,11 @@
 		Proto      hsflow.Proto
 		Address    netip.AddrPort
 		Idempotent bool
-		// True if the address belonged to another service earlier.
+		// Index into View.Services of the service that had the address
+		// earlier, or -1.
+		Earlier int
+		// True if the address belonged to another service earlier, listed or
+		// not.
 		Moved bool
 
 		// Newest first.
@@ -286,6 +290,7 @@
 			Idempotent: s.Idempotent,
 			serves:     s.Targets,
 		}
+		out.Earlier = -1
 		at := hsflow.NewPlace(s.Proto, s.Address)
 		gens := v.History[s.Name]
 		for i := range gens {
@@ -294,6 +299,7 @@
 		if before != nil {
 			if old := before.Service(at); old != nil {
 				out.Moved = old.Moved || old.Name != s.Name
+				out.Earlier = v.earlier(before, old, s.Name)
 			}
 		}
 		v.byPlace[at] = i
@@ -301,6 +307,19 @@
 	}
 }
 
+// earlier returns the index of the service that had a place before name did, or
+// -1 if none had or it is not listed any more.
+func (v *View) earlier(before *View, old *Service, name string) int {
+	had := old.Name
+	if had == name {
+		if old.Earlier < 0 {
+			return -1
+		}
+		had = before.Services[old.Earlier].Name
+	}
+	return slices.IndexFunc(v.Manifest.Services, func(s hsmanifest.Service) bool { return s.Name == had })
+}
+
 func seedOf(name string) uint64 {
 	return xxhash.Sum64String(name)
 }
