Try silent candidates for two seconds before a caller is told

Ruled out: that the target denied the flow; its acknowledgement reached a crashed host.

Change: silent candidates are tried again for 2 s; a target's home denies a trial only after a second of silence.

--- a/internal/hshome/caller.go
+++ b/internal/hshome/caller.go
@@ -333,7 +333,7 @@
 		return false
 	}
 	heard := c.targets[f.target].heard
-	return c.now-f.unanswered >= tryTimeout && heard > f.unanswered && c.now-heard <= tryTimeout
+	return c.now-f.unanswered >= silentAfter && heard > f.unanswered && c.now-heard <= tryTimeout
 }
 
 // refuted reports whether a packet for target n shows that the exception held
--- a/internal/hshome/recover.go
+++ b/internal/hshome/recover.go
@@ -35,8 +35,8 @@
 	mute uint16
 	// True if the candidate under trial was heard shortly before the trial.
 	audible bool
-	// Number of times that all candidates were gone through.
-	rounds int
+	// Time of the first trial, ms.
+	tried uint32
 	// True once the wait is over and stands in waitList only.
 	done bool
 }
@@ -55,8 +55,9 @@
 	// quietTimeout is the time in ms after which a target that did not deny
 	// segments that need no answer is taken to hold the flow.
 	quietTimeout = 1000
-	// maxRounds bounds how often silent candidates are tried.
-	maxRounds = 3
+	// trialTime is the time in ms for which silent candidates are tried again
+	// and again, long enough for single answers to be lost.
+	trialTime = 2000
 )
 
 // recover starts to look for the target that holds x's flow.
@@ -102,7 +103,7 @@
 		}
 		c.setPhase(f, asking)
 		w.cands, w.pending = w.cands[:0], w.pending[:0]
-		w.unsure, w.denied, w.mute, w.rounds = 0, 0, 0, 0
+		w.unsure, w.denied, w.mute = 0, 0, 0
 		x := context{p: &w.held[0], key: w.key, hash: w.key.Hash()}
 		c.begin(w, s, &x, f.target)
 	}
@@ -349,6 +350,7 @@
 		return
 	}
 	c.orderTrials(w)
+	w.tried = c.now
 	c.try(w, f, 0)
 }
 
@@ -454,7 +456,6 @@
 		w.at++
 		if w.at == len(w.cands) {
 			w.at = 0
-			w.rounds++
 		}
 		if w.denied&(1<<w.at) == 0 {
 			break
@@ -464,7 +465,7 @@
 	switch {
 	case w.denied == all:
 		c.giveUp(w, hscode.FlowDenied)
-	case w.rounds < maxRounds:
+	case c.now-w.tried < trialTime:
 		c.try(w, f, w.at)
 	case w.denied|w.mute == all:
 		c.giveUp(w, hscode.FlowDenied)
