--- a/internal/hsentry/admin.go
+++ b/internal/hsentry/admin.go
@@ -53,6 +53,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /status", e.serveStatus)
 	mux.HandleFunc("GET /debug/vars", e.serveVars)
+	mux.HandleFunc("GET /ready", e.serveReady)
 	return serve(ctx, e.sockets.admin, mux)
 }
 
@@ -158,6 +159,18 @@
 	_ = enc.Encode(st)
 }
 
+// serveReady answers 200 if the fabric may send packets here: a manifest is in
+// force, a peer has confirmed it, and no planned stop is under way.
+func (e *Entry) serveReady(w http.ResponseWriter, r *http.Request) {
+	st, ok := e.Status(r.Context())
+	leaving := st.Members[e.cfg.Settings.Name].Leaving
+	if !ok || st.Version == 0 || st.Paused || leaving {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = fmt.Fprintln(w, "ready")
+}
+
 // serveVars serves the counters in the form of expvar, with the variables that
 // expvar itself publishes.
 func (e *Entry) serveVars(w http.ResponseWriter, r *http.Request) {
