--- a/internal/hscode/hscode.go
+++ b/internal/hscode/hscode.go
@@ -3,7 +3,10 @@
 // interface: they are never reused or renumbered.
 package hscode
 
-import "fmt"
+import (
+	"fmt"
+	"strings"
+)
 
 type (
 	// Code is a numbered result code.
@@ -28,6 +31,9 @@
 		// What was found there.
 		Detail string
 	}
+
+	// Faults lists everything that is wrong with one input.
+	Faults []*Error
 )
 
 // Codes 1xxx are about manifests, 2xxx settings, 3xxx packets, 4xxx flows,
@@ -180,3 +186,12 @@
 func (e *Error) Error() string {
 	return fmt.Sprintf("%s: %s: %s", e.Code, e.Path, e.Detail)
 }
+
+// Error implements error, one fault a line.
+func (f Faults) Error() string {
+	lines := make([]string, len(f))
+	for i, e := range f {
+		lines[i] = e.Error()
+	}
+	return strings.Join(lines, "\n")
+}
--- a/internal/hsentry/peer.go
+++ b/internal/hsentry/peer.go
@@ -50,8 +50,6 @@
 	handoverTries = 3
 	handoverPause = 50 * time.Millisecond
 	macHeader     = "Heatherstack-Mac"
-	// entryOpen is the state of a handed entry whose connection is open.
-	entryOpen = 1
 )
 
 func (e *Entry) runCaller(ctx context.Context) error {
@@ -200,17 +198,13 @@
 }
 
 func packEntry(e *hshome.Entry) *hsschema.Entry {
-	out := &hsschema.Entry{
+	return &hsschema.Entry{
 		Flow:   e.Flow[:],
 		Target: uint64(e.Target),
 		Isn:    e.ISN,
 		Caller: e.Caller,
 		Reply:  e.Reply,
 	}
-	if e.Open {
-		out.State = entryOpen
-	}
-	return out
 }
 
 func unpackEntry(e *hsschema.Entry) (hshome.Entry, bool) {
@@ -223,7 +217,6 @@
 		ISN:    e.GetIsn(),
 		Caller: e.GetCaller(),
 		Reply:  e.GetReply(),
-		Open:   e.GetState() == entryOpen,
 	}, true
 }
 
--- a/internal/hshome/core.go
+++ b/internal/hshome/core.go
@@ -72,7 +72,6 @@
 		Caller uint32
 		// Next sequence number expected of the target.
 		Reply uint32
-		Open  bool
 	}
 
 	// Config holds the settings of a Core.
--- a/internal/hshome/recover.go
+++ b/internal/hshome/recover.go
@@ -6,7 +6,6 @@
 
 	"heatherstack.org/heatherstack/internal/hscode"
 	"heatherstack.org/heatherstack/internal/hsflow"
-	"heatherstack.org/heatherstack/internal/hsmanifest"
 	"heatherstack.org/heatherstack/internal/hspacket"
 	"heatherstack.org/heatherstack/internal/hsrank"
 )
@@ -127,37 +126,6 @@
 	}
 }
 
-// ask asks the homes of all candidates, and hosts that were their homes before.
-func (c *Core) ask(w *wait, x *context) {
-	for _, n := range w.cands {
-		t := &c.view.Targets[c.targets[n].at]
-		for _, h := range []int{t.Home, t.Before} {
-			if h < 0 || h == c.self() || !c.view.Hosts[h].Alive {
-				continue
-			}
-			addr := c.view.Hosts[h].Address
-			if slices.Contains(w.pending, addr) {
-				continue
-			}
-			w.pending = append(w.pending, addr)
-			c.sendAsk(addr, w, x.p.Seg)
-		}
-	}
-}
-
-func (c *Core) sendAsk(host netip.Addr, w *wait, seg hspacket.Segment) {
-	c.Stats.Asks++
-	c.control(host, hspacket.Steer{
-		Kind:  hspacket.KindAsk,
-		Query: &hspacket.Query{Flow: w.key, Seq: seg.Seq, Ack: seg.Ack},
-	})
-}
-
-func (c *Core) control(host netip.Addr, s hspacket.Steer) {
-	s.Boot = c.cfg.Boot
-	c.emit(Output{Kind: Control, Addr: host, Steer: s})
-}
-
 // hold keeps a packet of a flow under recovery.
 func (c *Core) hold(x *context) {
 	w := c.waits[x.key]
@@ -179,138 +147,6 @@
 	w.held = append(w.held, p)
 }
 
-// asked answers another home's ask.
-func (c *Core) asked(p *hspacket.Packet, via netip.Addr) {
-	key := p.Steer.Query.Flow
-	f := c.flows.Get(&key, key.Hash())
-	s := c.view.Service(key.Place())
-	if s != nil && f != nil && c.claims(f, p) {
-		c.Stats.Claims++
-		c.control(via, hspacket.Steer{Kind: hspacket.KindClaim, Target: uint64(c.targets[f.target].id), Query: &hspacket.Query{Flow: key}})
-		return
-	}
-	answer := hspacket.Steer{Kind: hspacket.KindDeny, Query: &hspacket.Query{Flow: key}}
-	if f == nil && s != nil && c.sureOfAll(s, &key) {
-		answer.Sure = 1
-	}
-	c.control(via, answer)
-}
-
-// claims reports whether the flow held here answers an ask. Only a host that
-// is or was the target's home knows; an exception is hearsay, and its target's
-// home is asked as well.
-func (c *Core) claims(f *flow, p *hspacket.Packet) bool {
-	if f.phase != open && f.phase != opening {
-		return false
-	}
-	at := c.targets[f.target].at
-	if !c.owned(f, at) {
-		return false
-	}
-	t := &c.view.Targets[at]
-	if t.Home != c.self() && t.Before != c.self() {
-		return false
-	}
-	if p.Steer.Query.Flow.Proto() == hsflow.UDP {
-		return true
-	}
-	return f.marks&markHeard != 0 && f.plausible(p.Steer.Query.Seq, p.Steer.Query.Ack)
-}
-
-// sureOfAll reports whether every flow of the candidates that are or were
-// homed here would be known here.
-func (c *Core) sureOfAll(s *hsrank.Service, key *hsflow.Key) bool {
-	var room [hsrank.MaxCandidates]int
-	for _, t := range c.possible(s, key, room[:0]) {
-		v := &c.view.Targets[t]
-		if v.Home != c.self() && v.Before != c.self() {
-			continue
-		}
-		if !c.sure(c.ofView[t], key.Proto()) {
-			return false
-		}
-	}
-	return true
-}
-
-// claimed takes the answer that a flow belongs to a target.
-func (c *Core) claimed(p *hspacket.Packet) {
-	key := p.Steer.Query.Flow
-	s := c.view.Service(key.Place())
-	at, ok := c.view.TargetByID(hsmanifest.TargetID(p.Steer.Target))
-	f := c.flows.Get(&key, key.Hash())
-	if s == nil || !ok || f == nil {
-		return
-	}
-	holder := c.holder(s, at)
-	if holder == nil {
-		return
-	}
-	n := c.ofView[at]
-	c.join(f, holder)
-	if w := c.waits[key]; w != nil {
-		tried := f.phase == trying && f.target == n
-		c.settle(w, f, n, !tried)
-		return
-	}
-	if f.known() && f.target != n && c.home(f.target) != c.self() {
-		c.bind(f, n, open)
-	}
-}
-
-// denied takes the answer that a host does not know a flow, or that a target
-// that it is home of denied a trial.
-func (c *Core) denied(p *hspacket.Packet, via netip.Addr) {
-	hash := p.Steer.Query.Flow.Hash()
-	w := c.waits[p.Steer.Query.Flow]
-	f := c.flows.Get(&p.Steer.Query.Flow, hash)
-	if f == nil {
-		return
-	}
-	byTarget := hsmanifest.TargetID(p.Steer.Target) == c.targets[f.target].id
-	if w == nil {
-		// The exception held here is wrong; the next packet starts a recovery.
-		if byTarget && c.home(f.target) != c.self() {
-			c.drop(f, &p.Steer.Query.Flow, hash)
-		}
-		return
-	}
-	if f.phase == trying {
-		if byTarget {
-			c.deniedBy(w, f)
-		}
-		return
-	}
-	i := slices.Index(w.pending, via)
-	if i < 0 {
-		return
-	}
-	w.pending = slices.Delete(w.pending, i, i+1)
-	if p.Steer.Sure != 0 {
-		c.exclude(w, via)
-	}
-	if len(w.pending) == 0 {
-		c.decide(w)
-	}
-}
-
-// exclude notes that host would know a flow of the targets it is or was home of.
-func (c *Core) exclude(w *wait, addr netip.Addr) {
-	host, ok := c.view.HostAt(addr)
-	if !ok {
-		return
-	}
-	for i, n := range w.cands {
-		at := c.targets[n].at
-		if at < 0 {
-			continue
-		}
-		if t := &c.view.Targets[at]; t.Home == host || t.Before == host {
-			w.unsure &^= 1 << i
-		}
-	}
-}
-
 // settle ends a recovery: target n holds the flow. Held packets follow if they
 // have not been delivered to it yet.
 func (c *Core) settle(w *wait, f *flow, n uint32, flush bool) {
@@ -365,19 +201,6 @@
 	c.giveUp(w, hscode.FlowAddressMoved)
 }
 
-// orderTrials puts the candidates that no home vouched for first.
-func (c *Core) orderTrials(w *wait) {
-	ordered := make([]uint32, 0, len(w.cands))
-	for _, unsure := range []bool{true, false} {
-		for i, n := range w.cands {
-			if (w.unsure&(1<<i) != 0) == unsure {
-				ordered = append(ordered, n)
-			}
-		}
-	}
-	w.cands = ordered
-}
-
 // decideUDP places a datagram's flow without trial. If no candidate can hold
 // it, it is new; if one live target can, it is placed there. If several can, or
 // one that is leaving and must get no new work, only an idempotent service
@@ -421,69 +244,6 @@
 	}
 }
 
-// try delivers the held packets to candidate i.
-func (c *Core) try(w *wait, f *flow, i int) {
-	c.Stats.Trials++
-	w.at = i
-	w.deadline = c.now + tryTimeout
-	c.bind(f, w.cands[i], trying)
-	w.audible = c.now-c.targets[f.target].heard <= tryTimeout
-	if c.targets[f.target].at < 0 {
-		w.deadline = c.now
-		return
-	}
-	for j := range w.held {
-		c.deliver(&context{p: &w.held[j], data: w.held[j].Inner}, f, 0)
-	}
-}
-
-// tryOn delivers a further packet to the candidate under trial.
-func (c *Core) tryOn(x *context, f *flow, hops uint8) {
-	if c.targets[f.target].at >= 0 {
-		c.deliver(x, f, hops)
-	}
-}
-
-// deniedBy goes on after the candidate under trial denied the flow.
-func (c *Core) deniedBy(w *wait, f *flow) {
-	w.denied |= 1 << w.at
-	c.next(w, f)
-}
-
-// next tries the next candidate that has not denied the flow.
-func (c *Core) next(w *wait, f *flow) {
-	for range w.cands {
-		w.at++
-		if w.at == len(w.cands) {
-			w.at = 0
-		}
-		if w.denied&(1<<w.at) == 0 {
-			break
-		}
-	}
-	all := uint16(1)<<len(w.cands) - 1
-	switch {
-	case w.denied == all:
-		c.giveUp(w, hscode.FlowDenied)
-	case c.now-w.tried < trialTime:
-		c.try(w, f, w.at)
-	case w.denied|w.mute == all:
-		c.giveUp(w, hscode.FlowDenied)
-	default:
-		c.abandon(w, f)
-	}
-}
-
-// noteMute notes that the candidate under trial did not answer, if it sent
-// something to others shortly before and meanwhile: then the flow is lost and
-// not the way to the target.
-func (c *Core) noteMute(w *wait, f *flow) {
-	began := w.deadline - tryTimeout
-	if c.home(f.target) == c.self() && w.audible && c.targets[f.target].heard > began {
-		w.mute |= 1 << w.at
-	}
-}
-
 // abandon ends a recovery without telling the caller anything, since a
 // candidate that cannot be reached now may hold the flow. The caller's next
 // packet begins another one.
@@ -520,58 +280,6 @@
 	c.flows.Remove(key, hash)
 }
 
-// replyInRecovery takes a target's packet of a flow under recovery here.
-func (c *Core) replyInRecovery(p *hspacket.Packet, key hsflow.Key, f *flow, n uint32) {
-	w := c.waits[key]
-	if w == nil {
-		return
-	}
-	current := f.phase == trying && f.target == n
-	holds := !p.Seg.Flags.Has(hspacket.RST) && (p.Proto == hsflow.UDP || f.answers(p.Seg))
-	switch {
-	case holds:
-		c.settle(w, f, n, !current)
-		f.marks |= proven
-		f.learn(c.now, p.Seg)
-		c.reply()
-	case current:
-		// An RST, or the answer of an older connection of the same addresses.
-		c.count(hscode.FlowTrialReset)
-		c.deniedBy(w, f)
-	default:
-		c.count(hscode.FlowLate)
-	}
-}
-
-// replyOnLoan takes a target's packet of a flow that another host tries here.
-func (c *Core) replyOnLoan(p *hspacket.Packet, key hsflow.Key, f *flow, n uint32) {
-	via := c.hosts[f.via]
-	if f.target != n {
-		c.count(hscode.FlowLate)
-		return
-	}
-	answer := hspacket.Steer{Kind: hspacket.KindDeny, Target: uint64(c.targets[n].id), Query: &hspacket.Query{Flow: key}}
-	if p.Seg.Flags.Has(hspacket.RST) || !f.answers(p.Seg) {
-		c.count(hscode.FlowTrialReset)
-		c.drop(f, &key, key.Hash())
-		c.answer(via, answer)
-		return
-	}
-	c.setPhase(f, open)
-	f.marks |= proven
-	f.learn(c.now, p.Seg)
-	answer.Kind = hspacket.KindClaim
-	c.answer(via, answer)
-	c.reply()
-}
-
-// answer tells the host that tries a flow here how the target answered.
-func (c *Core) answer(via netip.Addr, s hspacket.Steer) {
-	if _, listed := c.view.HostAt(via); listed {
-		c.control(via, s)
-	}
-}
-
 // stepWaits moves recoveries on whose time is up.
 func (c *Core) stepWaits() {
 	kept := c.waitList[:0]
@@ -602,46 +310,3 @@
 		c.finish(w)
 	}
 }
-
-func (c *Core) stepAsking(w *wait) {
-	if c.now >= w.deadline {
-		c.decide(w)
-		return
-	}
-	if w.resent || c.now+askTimeout < w.deadline+askAgain || len(w.held) == 0 {
-		return
-	}
-	w.resent = true
-	for _, h := range w.pending {
-		c.sendAsk(h, w, w.held[0].Seg)
-	}
-}
-
-func (c *Core) stepTrying(w *wait, f *flow) {
-	if c.now < w.deadline {
-		return
-	}
-	if c.targets[f.target].at < 0 {
-		c.deniedBy(w, f)
-		return
-	}
-	if answerable(w) {
-		c.noteMute(w, f)
-		c.next(w, f)
-		return
-	}
-	if c.now-w.deadline >= quietTimeout {
-		c.settle(w, f, f.target, false)
-	}
-}
-
-// answerable reports whether a target that holds the flow must answer what was
-// delivered: bare acknowledgements need no answer.
-func answerable(w *wait) bool {
-	for i := range w.held {
-		if w.held[i].Seg.Len > 0 || w.held[i].Seg.Flags.Has(hspacket.FIN) {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/hshome/sweep.go
+++ b/internal/hshome/sweep.go
@@ -105,7 +105,6 @@
 		ISN:    f.isn,
 		Caller: f.caller,
 		Reply:  f.reply,
-		Open:   true,
 	})
 }
 
--- a/internal/hsmanifest/parse.go
+++ b/internal/hsmanifest/parse.go
@@ -15,11 +15,8 @@
 )
 
 type (
-	// Faults lists everything wrong with a manifest.
-	Faults []*hscode.Error
-
 	checker struct {
-		faults  Faults
+		faults  hscode.Faults
 		users   map[string]bool
 		targets map[string]int
 	}
@@ -34,24 +31,15 @@
 	maxNameLen = 64
 )
 
-// Error implements error, one fault a line.
-func (f Faults) Error() string {
-	lines := make([]string, len(f))
-	for i, e := range f {
-		lines[i] = e.Error()
-	}
-	return strings.Join(lines, "\n")
-}
-
 // Parse reads the JSON form of a manifest and checks all of it. All hosts come
 // to the same verdict, since it depends on nothing but data.
-func Parse(data []byte) (*Manifest, Faults) {
+func Parse(data []byte) (*Manifest, hscode.Faults) {
 	if len(data) > MaxSize {
-		return nil, Faults{hscode.New(hscode.ManifestSize, "$", "has %d bytes, want at most %d", len(data), MaxSize)}
+		return nil, hscode.Faults{hscode.New(hscode.ManifestSize, "$", "has %d bytes, want at most %d", len(data), MaxSize)}
 	}
 	raw := &hsschema.Manifest{}
 	if err := protojson.Unmarshal(data, raw); err != nil {
-		return nil, Faults{hscode.New(hscode.ManifestSyntax, "$", "%s", plain(err))}
+		return nil, hscode.Faults{hscode.New(hscode.ManifestSyntax, "$", "%s", plain(err))}
 	}
 	c := &checker{users: map[string]bool{}, targets: map[string]int{}}
 	m := c.manifest(raw)
--- a/internal/hssettings/settings.go
+++ b/internal/hssettings/settings.go
@@ -56,12 +56,9 @@
 		Required bool
 	}
 
-	// Faults lists everything wrong with the settings.
-	Faults []*hscode.Error
-
 	checker struct {
 		values map[string]string
-		faults Faults
+		faults hscode.Faults
 	}
 )
 
@@ -98,18 +95,9 @@
 	}
 }
 
-// Error implements error, one fault a line.
-func (f Faults) Error() string {
-	lines := make([]string, len(f))
-	for i, e := range f {
-		lines[i] = e.Error()
-	}
-	return strings.Join(lines, "\n")
-}
-
 // Parse checks all values by name and returns the settings or all faults.
 // Settings without a value take their default.
-func Parse(values map[string]string) (Settings, Faults) {
+func Parse(values map[string]string) (Settings, hscode.Faults) {
 	c := &checker{values: map[string]string{}}
 	for _, f := range Fields() {
 		v, ok := values[f.Name]
