Split the long functions of the caller's path

Cause: doubtful and exact each did three things.

Change: shookElsewhere, silent and onLoan are functions of their own. Behaviour is the same.

--- a/internal/hshome/caller.go
+++ b/internal/hshome/caller.go
@@ -92,36 +92,48 @@
 }
 
 // doubtful reports whether the flow's target is probably not the one that the
-// caller talks to: the handshake was finished with another one, or the flow is
-// silent while the target answers others.
+// caller talks to.
 func (c *Core) doubtful(x *context, f *flow) bool {
 	seg := x.p.Seg
-	if seg.Opens() || seg.Flags.Has(hspacket.RST) || c.home(f.target) != c.self() {
+	switch {
+	case seg.Opens() || seg.Flags.Has(hspacket.RST) || c.home(f.target) != c.self():
 		return false
+	case f.phase == opening && seg.Flags.Has(hspacket.ACK):
+		return f.shookElsewhere(seg)
+	case f.marks&doubted != 0:
+		return true
+	case f.phase == open && f.marks&proven == 0 && !f.plausible(seg.Seq, seg.Ack):
+		return true
+	default:
+		return c.silent(f, seg)
 	}
-	if f.phase == opening && seg.Flags.Has(hspacket.ACK) {
-		// Its home sees a target's SYN-ACK before the caller does, so an
-		// acknowledgement of something else was earned elsewhere.
-		if f.marks&markHeard == 0 {
-			return true
-		}
-		ahead := seg.Ack - (f.isn + 1)
-		return ahead > maxAhead
-	}
-	if f.marks&doubted != 0 || (f.phase == open && f.marks&proven == 0 && !f.plausible(seg.Seq, seg.Ack)) {
+}
+
+// shookElsewhere reports whether the caller finished the handshake with another
+// target. A target's SYN-ACK passes its home before it reaches the caller, so an
+// acknowledgement of anything else was earned elsewhere.
+func (f *flow) shookElsewhere(seg hspacket.Segment) bool {
+	if f.marks&markHeard == 0 {
 		return true
 	}
+	ahead := seg.Ack - (f.isn + 1)
+	return ahead > maxAhead
+}
+
+// silent reports whether the caller's data stays unanswered while the target
+// answers others.
+func (c *Core) silent(f *flow, seg hspacket.Segment) bool {
 	if f.phase != open || seg.Len == 0 || f.unanswered == 0 {
 		return false
 	}
-	silent := c.now-f.unanswered > silentAfter
+	waited := c.now-f.unanswered > silentAfter
 	alive := c.now-c.targets[f.target].heard < aliveWithin
-	if silent && alive {
-		c.Stats.Silent++
-		f.unanswered = c.now
-		return true
+	if !waited || !alive {
+		return false
 	}
-	return false
+	c.Stats.Silent++
+	f.unanswered = c.now
+	return true
 }
 
 // unknown takes a caller's packet of a flow that is not held here.
@@ -290,26 +302,31 @@
 	}
 	if f == nil || f.phase != lent || f.target != n {
 		f = c.takeExact(x, s, n, via)
-		if f == nil {
-			return
-		}
 	}
+	if f != nil {
+		c.onLoan(x, f, via)
+	}
+}
+
+// onLoan delivers a packet of a flow that another host tries on a target homed
+// here, or tells it that the target stays silent about the flow.
+func (c *Core) onLoan(x *context, f *flow, via netip.Addr) {
 	if c.muteOnLoan(f) {
 		f.unanswered = 0
 		c.answer(via, hspacket.Steer{
 			Kind:   hspacket.KindDeny,
-			Target: p.Steer.Target,
+			Target: x.p.Steer.Target,
 			Query:  &hspacket.Query{Flow: x.key},
 		})
 		return
 	}
 	c.noteAudible(f)
-	f.noteCaller(c.now, p.Seg)
-	if p.Seg.Flags.Has(hspacket.ACK) && f.marks&markReply == 0 {
-		f.reply = p.Seg.Ack
+	f.noteCaller(c.now, x.p.Seg)
+	if x.p.Seg.Flags.Has(hspacket.ACK) && f.marks&markReply == 0 {
+		f.reply = x.p.Seg.Ack
 		f.marks |= markReply
 	}
-	c.deliver(x, f, p.Steer.Hops)
+	c.deliver(x, f, x.p.Steer.Hops)
 }
 
 // noteAudible notes whether the flow's target was heard shortly before a packet
