--- a/internal/hspacket/fuzz_test.go
+++ b/internal/hspacket/fuzz_test.go
@@ -61,6 +61,7 @@
 	good6 := tunnelled(t, spec(hsflow.UDP, "[2001:db8::1]:4000", "[2001:db8::2]:53", 20), Steer{})
 	steered := tunnelled(t, spec(hsflow.TCP, "192.0.2.1:4000", "198.51.100.1:443", 20), Steer{Kind: KindForward})
 	nested := tunnelled(t, spec(hsflow.UDP, "192.0.2.1:4000", "198.51.100.1:6081", 20), Steer{})
+	oversize := tunnelled(t, spec(hsflow.TCP, "192.0.2.1:4000", "198.51.100.1:443", MaxInner), Steer{})
 	for _, c := range []struct {
 		name   string
 		base   []byte
@@ -83,6 +84,7 @@
 		{"fragment v6", good6, func(b []byte) []byte { b[8+6] = 44; return b }, hscode.PacketFragment},
 		{"icmp v6", good6, func(b []byte) []byte { b[8+6] = 58; return b }, hscode.PacketProtocol},
 		{"no udp checksum v6", good6, func(b []byte) []byte { b[8+46], b[8+47] = 0, 0; return b }, hscode.PacketChecksum},
+		{"oversize", oversize, func(b []byte) []byte { return b }, hscode.PacketOversize},
 		{"tunnel in tunnel", nested, func(b []byte) []byte { return b }, hscode.PacketNested},
 		{"option length", steered, func(b []byte) []byte { b[11]++; return b }, hscode.PacketOption},
 		{"critical option", steered, func(b []byte) []byte { b[9]++; return b }, hscode.PacketOption},
