Remove what nothing calls; start both kinds of scenes by one function

Cause: reading the whole change showed a way to kill entry hosts in the lab, an outage switch of the stand-in platform and a count of members that nothing calls, and the same five lines that start a scene in two places.

Change: the three are gone; Scene.begin serves the matrix and the comparison. Behaviour is the same.

--- a/internal/hslab/platform.go
+++ b/internal/hslab/platform.go
@@ -18,7 +18,6 @@
 	// Closed when the value changes.
 	changed chan struct{}
 	reads   int
-	down    bool
 }
 
 // NewPlatform returns a platform without a value.
@@ -36,13 +35,6 @@
 	p.changed = make(chan struct{})
 }
 
-// SetDown makes the platform answer with an error, or no longer.
-func (p *Platform) SetDown(down bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.down = down
-}
-
 // Reads returns the number of calls since the start.
 func (p *Platform) Reads() int {
 	p.mu.Lock()
@@ -52,27 +44,24 @@
 
 // ServeHTTP implements http.Handler.
 func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	value, etag, changed, down := p.read()
-	if !down && etag != "" && r.Header.Get("If-None-Match") == etag {
+	value, etag, changed := p.read()
+	if etag != "" && r.Header.Get("If-None-Match") == etag {
 		p.wait(r, changed)
-		value, etag, _, down = p.read()
+		value, etag, _ = p.read()
 	}
-	switch {
-	case down:
-		http.Error(w, "down", http.StatusServiceUnavailable)
-	case etag == "" || r.Header.Get("If-None-Match") == etag:
+	if etag == "" || r.Header.Get("If-None-Match") == etag {
 		w.WriteHeader(http.StatusNotModified)
-	default:
-		w.Header().Set("ETag", etag)
-		_, _ = w.Write(value)
+		return
 	}
+	w.Header().Set("ETag", etag)
+	_, _ = w.Write(value)
 }
 
-func (p *Platform) read() (value []byte, etag string, changed <-chan struct{}, down bool) {
+func (p *Platform) read() (value []byte, etag string, changed <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.reads++
-	return p.value, p.etag, p.changed, p.down
+	return p.value, p.etag, p.changed
 }
 
 // wait returns after a change or the time that the Prefer header names.
--- a/internal/hslab/world.go
+++ b/internal/hslab/world.go
@@ -209,13 +209,6 @@
 	return run.done
 }
 
-// KillEntry ends an entry host as a crash would.
-func (w *World) KillEntry(name string) {
-	run := w.take(name)
-	run.entry.Kill()
-	<-run.done
-}
-
 func (w *World) take(name string) *runningEntry {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/hsmatrix/compare.go
+++ b/internal/hsmatrix/compare.go
@@ -128,11 +128,7 @@
 	}
 	s.N.Make = p.Make
 	s.N.NoHandover = p.NoHandover
-	s.AddTargets()
-	s.AddHosts(6)
-	s.Publish()
-	s.N.Run(settle)
-	s.SprayAll()
+	s.begin()
 	script := s.Estate.Services[0].Script
 	script.Think = compareThink
 	for i := range compareCallers {
--- a/internal/hsmatrix/scene.go
+++ b/internal/hsmatrix/scene.go
@@ -92,15 +92,21 @@
 		},
 	}
 	s.N.Watch = s.watch
+	s.begin()
+	s.addClients()
+	s.N.Run(settle)
+	s.addFocus()
+	return s
+}
+
+// begin starts the first building's targets and entry hosts and waits until the
+// hosts have settled.
+func (s *Scene) begin() {
 	s.AddTargets()
 	s.AddHosts(6)
 	s.Publish()
 	s.N.Run(settle)
 	s.SprayAll()
-	s.addClients()
-	s.N.Run(settle)
-	s.addFocus()
-	return s
 }
 
 func services() []hslab.ServicePlan {
--- a/internal/hsroster/roster.go
+++ b/internal/hsroster/roster.go
@@ -222,17 +222,6 @@
 	return out
 }
 
-// AliveCount returns the number of members believed alive, without this host.
-func (r *Roster) AliveCount() int {
-	n := 0
-	for _, m := range r.members {
-		if m.state != Dead {
-			n++
-		}
-	}
-	return n
-}
-
 // Tick lets time pass. It is due at least four times per probe interval.
 func (r *Roster) Tick(now time.Time) Output {
 	r.begin()
