Run on a metadata store with direct server return

Cause: the platform answers callers directly and both ends repeat a 32-bit field, so a packet can name its target and no host needs to remember a flow. The tunnel path has no use for either.

Change: hsdirect, an entry host that steers by cookie (hscookie), places by open flows (hsplace) and passes published state on by revision (hsfeed); membership without a host list in hsroster; platform/ reads settings, store and packets.

Ruled out: waking the data task by a deadline in the past without setting it anew; it spun until the next tick (0.17 cores a host, 0.007 after).

--- a/internal/hscode/hscode.go
+++ b/internal/hscode/hscode.go
@@ -58,6 +58,7 @@
 	SettingValue   Code = 2002
 	SettingRange   Code = 2003
 	SettingExposed Code = 2004
+	SettingFile    Code = 2005
 
 	PacketShort    Code = 3001
 	PacketVersion  Code = 3002
@@ -87,20 +88,28 @@
 	FlowAddressMoved Code = 4015
 	FlowUnanswered   Code = 4016
 
+	FlowUnknownCookie Code = 4017
+	FlowOverload      Code = 4018
+
 	PeerUnknown  Code = 5001
 	PeerMAC      Code = 5002
 	PeerMessage  Code = 5003
 	PeerHandover Code = 5004
 	PeerFetch    Code = 5005
 	PeerOldBoot  Code = 5006
+	PeerGap      Code = 5007
 
 	PlatformRead   Code = 6001
 	PlatformStatus Code = 6002
 	PlatformSize   Code = 6003
 
+	PlatformHistory Code = 6004
+	PlatformEntry   Code = 6005
+
 	ProcessSocket Code = 7001
 	ProcessPaused Code = 7002
 	ProcessSend   Code = 7003
+	ProcessReload Code = 7004
 )
 
 // Table lists all codes in rising order.
@@ -122,6 +131,7 @@
 	{SettingValue, "setting-value", "A setting cannot be parsed.", "Correct the value; the detail names the form."},
 	{SettingRange, "setting-range", "A setting is outside its range.", "See the detail for the range."},
 	{SettingExposed, "setting-exposed", "A plain-text listener was asked for on an address other than loopback.", "Bind it to loopback."},
+	{SettingFile, "setting-file", "The settings file cannot be read.", "Check that the file exists and is valid; a running process keeps the settings it has."},
 	{PacketShort, "packet-short", "A packet ends before its headers do.", "Look for truncation between fabric and entry host."},
 	{PacketVersion, "packet-version", "The tunnel or IP version is unknown.", "Check the fabric's tunnel settings."},
 	{PacketOption, "packet-option", "A tunnel option is malformed or unknown and critical.", "Check that all entry hosts run compatible releases."},
@@ -148,18 +158,24 @@
 	{FlowTooOld, "flow-too-old", "A datagram waited in a paused process and was dropped.", "Find out what paused it."},
 	{FlowAddressMoved, "flow-address-moved", "The flow's address belongs to another service now and no home knows the flow; it was reset.", "Keep the earlier service in the manifest until its flows have ended."},
 	{FlowUnanswered, "flow-unanswered", "A candidate neither denied nor answered; the caller was told nothing and may try again.", "Look for targets or zones that cannot be reached."},
+	{FlowUnknownCookie, "flow-unknown-cookie", "A packet in the middle of a flow carries a cookie that names no target of its route.", "Look for targets that left the store early, or for forged packets."},
+	{FlowOverload, "flow-overload", "No target could serve the flow in time; the opening packet was reset and nothing has run.", "Add targets, or look for what holds their slots."},
 	{PeerUnknown, "peer-unknown", "A steering or control packet came from an address outside the manifest's host list.", "Look for a spoofing sender or a missing host."},
 	{PeerMAC, "peer-mac", "A control message's MAC is wrong.", "Compare the key setting of the hosts."},
 	{PeerMessage, "peer-message", "A control message cannot be decoded.", "Check that releases are compatible."},
 	{PeerHandover, "peer-handover", "A handover call failed and will be tried again.", "Check the peer port between hosts."},
 	{PeerFetch, "peer-fetch", "Fetching a manifest from a peer failed.", "Check the peer port between hosts."},
 	{PeerOldBoot, "peer-old-boot", "A message of an earlier boot of a host was dropped.", "Nothing."},
+	{PeerGap, "peer-gap", "A peer sent changes that follow on a revision not reached here; the rest was asked for.", "Nothing, unless it goes on for seconds."},
 	{PlatformRead, "platform-read", "The platform could not be read.", "Check the platform; the view in force stays."},
 	{PlatformStatus, "platform-status", "The platform answered with an unexpected status.", "Check the platform setting."},
 	{PlatformSize, "platform-size", "The platform's value is too large.", "See manifest-size."},
+	{PlatformHistory, "platform-history", "The store has dropped the history that a watch asked for; everything was read anew.", "Nothing."},
+	{PlatformEntry, "platform-entry", "An entry of the store cannot be read and was left out.", "Find out who wrote it; the detail names the key."},
 	{ProcessSocket, "process-socket", "A socket could not be opened.", "Check address and port settings, and what else runs on the host."},
 	{ProcessPaused, "process-paused", "The process did not run for longer than its lease.", "Find out what paused it."},
 	{ProcessSend, "process-send", "A packet could not be sent.", "Check routes and buffer sizes."},
+	{ProcessReload, "process-reload", "The settings were read again.", "Nothing."},
 }
 
 // Lookup returns the table's entry of c, or an entry named unknown.
--- /dev/null
+++ b/internal/hscookie/core.go
@@ -0,0 +1,197 @@
+package hscookie
+
+import (
+	"net/netip"
+	"time"
+
+	"heatherstack.org/heatherstack/internal/hscode"
+	"heatherstack.org/heatherstack/internal/hsfeed"
+	"heatherstack.org/heatherstack/internal/hsflow"
+	"heatherstack.org/heatherstack/internal/hsplace"
+)
+
+type (
+	// Config holds the settings of a Core.
+	Config struct {
+		Place hsplace.Config
+		// Flows counted at most; more are forwarded without being counted.
+		MaxFlows int
+		// Time for which packets of open flows go to a target that is not
+		// listed any more: the longest life of a flow.
+		Life time.Duration
+	}
+
+	// Action says what becomes of a packet.
+	Action uint8
+
+	// Verdict is the decision about one packet.
+	Verdict struct {
+		Action Action
+		// Why the packet was not forwarded; OK if it was.
+		Code hscode.Code
+		// For Forward: where to, whom it is meant for, and the cookie that the
+		// packet has to carry.
+		To     netip.AddrPort
+		Target hsfeed.TargetID
+		Cookie Cookie
+		// True if the packet opened a flow that this host had not seen.
+		Placed bool
+	}
+
+	// Stats counts decisions.
+	Stats struct {
+		Placed    uint64
+		Copies    uint64
+		Forwarded uint64
+		Resets    uint64
+		Adopted   uint64
+		Ejected   uint64
+		Expired   uint64
+	}
+
+	// Core decides about callers' packets. It is not safe for concurrent use.
+	Core struct {
+		cfg     Config
+		place   *hsplace.Placer
+		routes  routes
+		targets targets
+		flows   *hsflow.Table[flow]
+		// Flows whose opening packet has no answer yet, oldest first.
+		opening queue
+		swept   time.Time
+		// Entry of flows at which the next search for quiet ones begins.
+		cursor int
+		Stats  Stats
+		// Packets by result code, without OK.
+		Counts map[hscode.Code]uint64
+	}
+)
+
+// Actions.
+const (
+	// Drop gives no answer.
+	Drop Action = iota
+	// Forward sends the packet to Verdict.To.
+	Forward
+	// Refuse resets the flow towards the caller.
+	Refuse
+)
+
+// New returns a core without routes and targets.
+func New(cfg Config) *Core {
+	return &Core{
+		cfg:    cfg,
+		place:  hsplace.New(cfg.Place),
+		flows:  hsflow.NewTable[flow](),
+		Counts: map[hscode.Code]uint64{},
+	}
+}
+
+// SetConfiguration takes the configuration in force.
+func (c *Core) SetConfiguration(now time.Time, cfg *hsfeed.Configuration) {
+	c.routes.setConfiguration(now, cfg)
+}
+
+// SetTargets takes the listed targets.
+func (c *Core) SetTargets(now time.Time, list []hsfeed.Entry) {
+	c.targets.setTargets(now, list, c.cfg.Life)
+	c.place.SetTargets(list)
+}
+
+// Report takes another host's open flows.
+func (c *Core) Report(now time.Time, host string, loads []hsplace.Load) {
+	c.place.Report(now, host, loads)
+}
+
+// Loads appends this host's open flows by target to dst.
+func (c *Core) Loads(dst []hsplace.Load) []hsplace.Load { return c.place.Loads(dst) }
+
+// Flows returns the number of flows that are counted.
+func (c *Core) Flows() int { return c.flows.Len() }
+
+// Ready reports whether the core can place flows.
+func (c *Core) Ready() bool {
+	return len(c.routes.byPlace) > 0 && len(c.targets.byID) > 0
+}
+
+// Packet decides about a caller's packet.
+func (c *Core) Packet(now time.Time, p *Packet) Verdict {
+	v := c.decide(now, p)
+	if v.Action == Forward {
+		c.Stats.Forwarded++
+		return v
+	}
+	c.Counts[v.Code]++
+	if v.Action == Refuse {
+		c.Stats.Resets++
+	}
+	return v
+}
+
+func (c *Core) decide(now time.Time, p *Packet) Verdict {
+	c.stepOpening(now)
+	r := c.routes.byPlace[p.To]
+	key := p.Key()
+	hash := key.Hash()
+	if p.Has(Open) {
+		return c.open(now, p, r, &key, hash)
+	}
+	if r == nil || (!r.until.IsZero() && now.After(r.until)) {
+		return c.ended(p, &key, hash)
+	}
+	d := c.targets.find(r, p.Cookie)
+	if d == nil {
+		return Verdict{Code: hscode.FlowUnknownCookie}
+	}
+	c.follow(now, p, d, &key, hash)
+	return Verdict{Action: Forward, To: d.address, Target: d.id, Cookie: p.Cookie}
+}
+
+// ended answers a packet of a flow whose route is not in force. Only a flow
+// that was seen here is reset: another host may know a route that this one has
+// not heard of yet.
+func (c *Core) ended(p *Packet, key *hsflow.Key, hash uint64) Verdict {
+	f := c.flows.Get(key, hash)
+	if f == nil || p.Has(Reset) {
+		return Verdict{Code: hscode.FlowNoService}
+	}
+	c.remove(key, hash, f)
+	return Verdict{Action: Refuse, Code: hscode.FlowNoService}
+}
+
+func (c *Core) open(now time.Time, p *Packet, r *route, key *hsflow.Key, hash uint64) Verdict {
+	if r == nil || !r.until.IsZero() {
+		if c.routes.version == 0 {
+			return Verdict{Code: hscode.FlowNoService}
+		}
+		return Verdict{Action: Refuse, Code: hscode.FlowNoService}
+	}
+	if f := c.flows.Get(key, hash); f != nil && !f.closed {
+		if d := c.targets.byID[f.target]; d != nil && r.had(d.service) {
+			c.Stats.Copies++
+			f.seen = now
+			return Verdict{Action: Forward, To: d.address, Target: d.id, Cookie: d.cookie}
+		}
+	}
+	if len(c.targets.byID) == 0 {
+		return Verdict{Code: hscode.FlowNoTarget}
+	}
+	id, code := c.place.Choose(now, r.service(hash))
+	if code != hscode.OK {
+		return Verdict{Action: Refuse, Code: code}
+	}
+	d := c.targets.byID[id]
+	c.add(now, key, hash, id, true)
+	c.Stats.Placed++
+	return Verdict{Action: Forward, To: d.address, Target: id, Cookie: d.cookie, Placed: true}
+}
+
+// Tick lets time pass.
+func (c *Core) Tick(now time.Time) {
+	c.stepOpening(now)
+	c.place.Tick(now)
+	if now.Sub(c.swept) >= sweepInterval {
+		c.swept = now
+		c.sweep(now)
+	}
+}
--- /dev/null
+++ b/internal/hsdirect/data.go
@@ -0,0 +1,200 @@
+package hsdirect
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/juju/errors"
+	"github.com/phuslu/log"
+
+	"heatherstack.org/heatherstack/internal/hscode"
+	"heatherstack.org/heatherstack/internal/hscookie"
+	"heatherstack.org/heatherstack/internal/hsfeed"
+	"heatherstack.org/heatherstack/internal/hsplace"
+)
+
+type (
+	// dataMessage tells the data task what changed; unset fields did not.
+	dataMessage struct {
+		configuration *hsfeed.Configuration
+		targets       []hsfeed.Entry
+		targetsSet    bool
+		report        *Report
+		status        chan<- DataStatus
+	}
+
+	// DataStatus is what the data task tells the metrics page.
+	DataStatus struct {
+		Flows  int
+		Stats  hscookie.Stats
+		Counts map[hscode.Code]uint64
+	}
+
+	// dataTask is the state of the data task.
+	dataTask struct {
+		e      *Entry
+		core   *hscookie.Core
+		pkt    hscookie.Packet
+		out    []byte
+		ticked time.Time
+		told   time.Time
+		counts map[hscode.Code]uint64
+	}
+)
+
+const (
+	dataTick = 25 * time.Millisecond
+	// maxPacket is above the largest packet of a caller.
+	maxPacket = 2048
+	maxFlows  = 65536
+)
+
+func (e *Entry) runData(ctx context.Context) error {
+	d := &dataTask{
+		e: e,
+		core: hscookie.New(hscookie.Config{
+			Place: hsplace.Config{
+				Zone: e.cfg.Settings.Zone,
+				Seed: xxhash.Sum64String(e.cfg.Settings.Name) ^ e.cfg.Boot,
+			},
+			MaxFlows: maxFlows,
+			Life:     e.cfg.Settings.Life,
+		}),
+		counts: map[hscode.Code]uint64{},
+	}
+	d.loop(ctx)
+	return nil
+}
+
+// loop reads packets one at a time. A message to the task ends the read that it
+// waits in, so that it is taken at once.
+func (d *dataTask) loop(ctx context.Context) {
+	conn := d.e.sockets.data
+	buf := make([]byte, maxPacket)
+	d.arm()
+	for ctx.Err() == nil {
+		now := time.Now()
+		if now.Sub(d.ticked) >= dataTick {
+			d.tick(now)
+		}
+		d.messages(now)
+		n, _, err := conn.ReadFromUDPAddrPort(buf)
+		switch {
+		case err == nil:
+			d.packet(time.Now(), buf[:n])
+		case errors.Is(err, net.ErrClosed):
+			return
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			d.arm()
+		default:
+			d.counts[hscode.ProcessSocket]++
+		}
+	}
+}
+
+// arm sets the time by which the next read ends.
+func (d *dataTask) arm() {
+	if err := d.e.sockets.data.SetReadDeadline(time.Now().Add(dataTick)); err != nil {
+		d.counts[hscode.ProcessSocket]++
+	}
+}
+
+func (d *dataTask) tick(now time.Time) {
+	d.ticked = now
+	d.core.Tick(now)
+	if now.Sub(d.told) >= nearInterval {
+		d.told = now
+		d.tellLoads()
+	}
+}
+
+// tellLoads passes the open flows on. A full queue means that the next report
+// is as good.
+func (d *dataTask) tellLoads() {
+	select {
+	case d.e.toControl <- controlMessage{loads: d.core.Loads(make([]hsplace.Load, 0, 32)), loadsSet: true}:
+	default:
+	}
+}
+
+func (d *dataTask) messages(now time.Time) {
+	for {
+		select {
+		case m := <-d.e.toData:
+			d.message(now, &m)
+		default:
+			return
+		}
+	}
+}
+
+func (d *dataTask) message(now time.Time, m *dataMessage) {
+	if m.configuration != nil {
+		d.core.SetConfiguration(now, m.configuration)
+	}
+	if m.targetsSet {
+		d.core.SetTargets(now, m.targets)
+	}
+	if m.report != nil {
+		d.core.Report(now, m.report.Host, m.report.Loads)
+	}
+	if m.status != nil {
+		m.status <- d.status()
+	}
+	if !d.e.ready.Load() && d.core.Ready() {
+		d.e.ready.Store(true)
+		d.e.log(log.InfoLevel, hscode.OK).Dur("after", now.Sub(d.e.started)).Msg("ready")
+	}
+}
+
+func (d *dataTask) packet(now time.Time, data []byte) {
+	if code := d.e.cfg.Codec.Decode(data, &d.pkt); code != hscode.OK {
+		d.counts[code]++
+		return
+	}
+	d.e.traffic.Store(int64(now.Sub(d.e.started)))
+	v := d.core.Packet(now, &d.pkt)
+	switch v.Action {
+	case hscookie.Forward:
+		d.out = d.e.cfg.Codec.AppendToTarget(d.out[:0], data, v.Target, v.Cookie)
+		d.write(v.To)
+	case hscookie.Refuse:
+		d.out = d.e.cfg.Codec.AppendReset(d.out[:0], &d.pkt)
+		d.write(d.e.cfg.Codec.Caller(&d.pkt))
+	}
+}
+
+// write sends d.out. A packet that the socket refuses is counted; its sender
+// sends it again.
+func (d *dataTask) write(to netip.AddrPort) {
+	if _, err := d.e.sockets.data.WriteToUDPAddrPort(d.out, to); err != nil {
+		d.counts[hscode.ProcessSend]++
+	}
+}
+
+func (d *dataTask) status() DataStatus {
+	st := DataStatus{Flows: d.core.Flows(), Stats: d.core.Stats, Counts: map[hscode.Code]uint64{}}
+	for code, n := range d.counts {
+		st.Counts[code] += n
+	}
+	for code, n := range d.core.Counts {
+		st.Counts[code] += n
+	}
+	return st
+}
+
+// tellData passes a message to the data task and wakes it.
+func (e *Entry) tellData(ctx context.Context, m dataMessage) {
+	select {
+	case e.toData <- m:
+	case <-ctx.Done():
+		return
+	}
+	if err := e.sockets.data.SetReadDeadline(time.Now()); err != nil && ctx.Err() == nil {
+		e.log(log.WarnLevel, hscode.ProcessSocket).Err(err).Msg("data task was not woken")
+	}
+}
--- /dev/null
+++ b/internal/hsdirect/main.go
@@ -0,0 +1,92 @@
+package hsdirect
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/juju/errors"
+	"github.com/phuslu/log"
+
+	"heatherstack.org/heatherstack/internal/hscode"
+)
+
+// Exit codes of hsdirect.
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+// logQueue is the number of log lines that may wait to be written; further
+// ones are dropped, so that no task waits for a slow reader of the log.
+const logQueue = 1024
+
+// Adapter connects the program to a deployment.
+type Adapter interface {
+	// Settings reads the settings anew. Errors are *hscode.Error.
+	Settings() (Settings, error)
+	// Connect returns what the program needs of the deployment.
+	Connect(s *Settings) (Store, Codec, string)
+}
+
+// Main runs the command hsdirect and returns its exit code. Faults of settings
+// go to stderr, one a line; logs go to stdout as JSON lines.
+func Main(args []string, a Adapter, stdout, stderr io.Writer) int {
+	app := kingpin.New("hsdirect", "Runs a heatherstack entry host whose targets answer callers directly.")
+	app.UsageWriter(stderr).ErrorWriter(stderr)
+	check := app.Flag("check", "Check the settings and exit.").Bool()
+	level := app.Flag("level", "Log level: debug, info, warn or error.").Envar("HSDIRECT_LEVEL").Default("info").
+		Enum("debug", "info", "warn", "error")
+	if _, err := app.Parse(args); err != nil {
+		_, _ = fmt.Fprintf(stderr, "hsdirect: %s: %v\n", hscode.SettingValue, err)
+		return exitSettings
+	}
+	set, err := a.Settings()
+	if err != nil {
+		_, _ = fmt.Fprintln(stderr, err)
+		return exitSettings
+	}
+	if *check {
+		_, _ = fmt.Fprintln(stdout, "settings are valid")
+		return exitOK
+	}
+	w := &log.AsyncWriter{ChannelSize: logQueue, DiscardOnFull: true, Writer: &log.IOWriter{Writer: stdout}}
+	code := run(a, set, &log.Logger{Level: log.ParseLevel(*level), Writer: w})
+	if err := w.Close(); err != nil {
+		_, _ = fmt.Fprintln(stderr, err)
+	}
+	return code
+}
+
+func run(a Adapter, set Settings, logger *log.Logger) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	store, codec, path := a.Connect(&set)
+	e, err := New(Config{
+		Settings:  set,
+		Store:     store,
+		Codec:     codec,
+		ReadyPath: path,
+		Boot:      uint64(time.Now().UnixMicro()),
+		Logger:    logger,
+		Read:      a.Settings,
+		Reload:    reload,
+	})
+	if err == nil {
+		err = e.Run(ctx)
+	}
+	if err != nil {
+		code := codeOf(err, hscode.ProcessSocket)
+		logger.Error().Uint16("code", uint16(code)).Err(errors.Cause(err)).Msg("entry host failed")
+		return exitFailed
+	}
+	return exitOK
+}
--- /dev/null
+++ b/internal/hsdirect/reader.go
@@ -0,0 +1,139 @@
+package hsdirect
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/phuslu/log"
+	"golang.org/x/sync/errgroup"
+
+	"heatherstack.org/heatherstack/internal/hscode"
+	"heatherstack.org/heatherstack/internal/hsfeed"
+)
+
+// storeReader is the state of the reader task.
+type storeReader struct {
+	e *Entry
+	// Revision up to which this task has seen everything; 0 if it has to list.
+	after   uint64
+	backoff time.Duration
+	// Whether the last call was answered.
+	answers bool
+}
+
+const (
+	// watchWait is the time for which a watch waits. A watch whose connection
+	// went silent is noticed after it, well inside the time in which a
+	// configuration has to be in force.
+	watchWait  = 2 * time.Second
+	backoffMin = 100 * time.Millisecond
+	// backoffMax bounds the time for which a store that has come back is not
+	// noticed.
+	backoffMax = time.Second
+)
+
+// runReader reads and watches the store while control wants it to.
+func (e *Entry) runReader(ctx context.Context) error {
+	r := &storeReader{e: e, backoff: backoffMin, answers: true}
+	active := true
+	for ctx.Err() == nil {
+		if active {
+			active = r.readWhileWanted(ctx)
+			continue
+		}
+		select {
+		case active = <-e.toReader:
+		case <-ctx.Done():
+		}
+	}
+	return nil
+}
+
+// readWhileWanted reads until control says otherwise or ctx ends. A call under
+// way is given up then.
+func (r *storeReader) readWhileWanted(ctx context.Context) bool {
+	g, reading := errgroup.WithContext(ctx)
+	reading, cancel := context.WithCancel(reading)
+	g.Go(func() error {
+		r.after = 0
+		for reading.Err() == nil {
+			r.step(reading)
+		}
+		return nil
+	})
+	wanted := true
+	for wanted && ctx.Err() == nil {
+		select {
+		case wanted = <-r.e.toReader:
+		case <-ctx.Done():
+		}
+	}
+	cancel()
+	// The group's task returns no error.
+	_ = g.Wait()
+	return wanted
+}
+
+// step makes one call and passes on what it brought.
+func (r *storeReader) step(ctx context.Context) {
+	u, err := r.read(ctx)
+	if ctx.Err() != nil {
+		return
+	}
+	if err != nil {
+		r.failed(ctx, err)
+		return
+	}
+	r.contact(ctx, true)
+	r.backoff = backoffMin
+	r.after = u.Revision
+	if len(u.Events) > 0 || u.Since == 0 {
+		r.tell(ctx, controlMessage{update: &u})
+	}
+}
+
+func (r *storeReader) read(ctx context.Context) (hsfeed.Update, error) {
+	if r.after == 0 {
+		return r.e.cfg.Store.List(ctx)
+	}
+	return r.e.cfg.Store.Watch(ctx, r.after, watchWait)
+}
+
+func (r *storeReader) failed(ctx context.Context, err error) {
+	code := codeOf(err, hscode.PlatformRead)
+	r.e.log(log.WarnLevel, code).Uint64("after", r.after).Err(errors.Cause(err)).Msg("store not read")
+	if code == hscode.PlatformHistory {
+		r.after = 0
+		return
+	}
+	r.contact(ctx, false)
+	sleep(ctx, r.backoff/2+rand.N(r.backoff))
+	r.backoff = min(2*r.backoff, backoffMax)
+}
+
+// contact tells control whether the store answers, if that changed.
+func (r *storeReader) contact(ctx context.Context, answers bool) {
+	if r.answers == answers {
+		return
+	}
+	r.answers = answers
+	r.e.log(log.InfoLevel, hscode.OK).Bool("answers", answers).Msg("contact with the store changed")
+	r.tell(ctx, controlMessage{contactSet: true, answers: answers})
+}
+
+func (r *storeReader) tell(ctx context.Context, m controlMessage) {
+	select {
+	case r.e.toControl <- m:
+	case <-ctx.Done():
+	}
+}
+
+func codeOf(err error, otherwise hscode.Code) hscode.Code {
+	var coded *hscode.Error
+	if errors.As(err, &coded) {
+		return coded.Code
+	}
+	return otherwise
+}
--- a/internal/hsentry/admin.go
+++ b/internal/hsentry/admin.go
@@ -5,14 +5,11 @@
 	"encoding/json"
 	"expvar"
 	"fmt"
-	"net"
 	"net/http"
 	"time"
 
-	"github.com/juju/errors"
-	"golang.org/x/sync/errgroup"
-
 	"heatherstack.org/heatherstack/internal/hscode"
+	"heatherstack.org/heatherstack/internal/hshttp"
 	"heatherstack.org/heatherstack/internal/hsrank"
 )
 
@@ -40,10 +37,7 @@
 	CounterReceived = "control_received"
 )
 
-const (
-	headerTimeout = 5 * time.Second
-	statusTimeout = time.Second
-)
+const statusTimeout = time.Second
 
 func (e *Entry) runAdmin(ctx context.Context) error {
 	if e.sockets.admin == nil {
@@ -54,26 +48,7 @@
 	mux.HandleFunc("GET /status", e.serveStatus)
 	mux.HandleFunc("GET /debug/vars", e.serveVars)
 	mux.HandleFunc("GET /ready", e.serveReady)
-	return serve(ctx, e.sockets.admin, mux)
-}
-
-// serve answers HTTP on l until ctx ends.
-func serve(ctx context.Context, l net.Listener, h http.Handler) error {
-	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
-	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error {
-		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
-			return errors.Trace(err)
-		}
-		return nil
-	})
-	g.Go(func() error {
-		<-ctx.Done()
-		// The listener may be closed already, which is no error.
-		_ = server.Close()
-		return nil
-	})
-	return g.Wait()
+	return hshttp.Serve(ctx, e.sockets.admin, mux)
 }
 
 // Status asks the tasks for their status. It returns false if they do not
--- a/internal/hsentry/peer.go
+++ b/internal/hsentry/peer.go
@@ -14,6 +14,7 @@
 	"heatherstack.org/heatherstack/internal/hscode"
 	"heatherstack.org/heatherstack/internal/hsflow"
 	"heatherstack.org/heatherstack/internal/hshome"
+	"heatherstack.org/heatherstack/internal/hshttp"
 	"heatherstack.org/heatherstack/internal/hskey"
 	"heatherstack.org/heatherstack/internal/hsmanifest"
 	"heatherstack.org/heatherstack/internal/hsschema"
@@ -125,7 +126,7 @@
 	s.ring <- ring
 	mux := http.NewServeMux()
 	mux.Handle(hsschemaconnect.NewPeerHandler(s))
-	return serve(ctx, e.sockets.peer, mux)
+	return hshttp.Serve(ctx, e.sockets.peer, mux)
 }
 
 // Handover implements the Peer service.
--- /dev/null
+++ b/internal/hsfeed/pack.go
@@ -0,0 +1,157 @@
+package hsfeed
+
+import (
+	"net/netip"
+	"time"
+
+	"heatherstack.org/heatherstack/internal/hsschema"
+)
+
+// Pack returns the message form of an update.
+func Pack(u *Update) *hsschema.Update {
+	out := &hsschema.Update{Since: u.Since, Revision: u.Revision}
+	for i := range u.Events {
+		out.Events = append(out.Events, packEvent(&u.Events[i]))
+	}
+	return out
+}
+
+// Unpack returns the update in a message, and false if the message is not
+// valid.
+func Unpack(m *hsschema.Update) (Update, bool) {
+	u := Update{Since: m.GetSince(), Revision: m.GetRevision()}
+	for _, e := range m.GetEvents() {
+		ev, ok := unpackEvent(e)
+		if !ok {
+			return Update{}, false
+		}
+		u.Events = append(u.Events, ev)
+	}
+	return u, true
+}
+
+func packEvent(ev *Event) *hsschema.Event {
+	out := &hsschema.Event{Revision: ev.Revision}
+	switch {
+	case ev.Configuration != nil:
+		out.Change = &hsschema.Event_Configuration{Configuration: packConfiguration(ev.Configuration)}
+	case ev.Target != nil:
+		out.Change = &hsschema.Event_Target{Target: packTarget(ev.Target)}
+	default:
+		out.Change = &hsschema.Event_Gone{Gone: uint64(ev.Gone)}
+	}
+	return out
+}
+
+func unpackEvent(e *hsschema.Event) (Event, bool) {
+	out := Event{Revision: e.GetRevision()}
+	ok := true
+	switch c := e.GetChange().(type) {
+	case *hsschema.Event_Configuration:
+		out.Configuration, ok = unpackConfiguration(c.Configuration)
+	case *hsschema.Event_Target:
+		out.Target, ok = unpackTarget(c.Target)
+	case *hsschema.Event_Gone:
+		out.Gone = TargetID(c.Gone)
+	default:
+		return out, false
+	}
+	return out, ok
+}
+
+func packTarget(t *Target) *hsschema.Backend {
+	return &hsschema.Backend{
+		Id:       uint64(t.ID),
+		Service:  t.Service,
+		Address:  t.Address.String(),
+		Zone:     t.Zone,
+		Slots:    uint32(t.Slots),
+		Draining: t.Draining,
+		Cold:     milliseconds(t.Cold),
+		Born:     t.Born,
+	}
+}
+
+func unpackTarget(b *hsschema.Backend) (*Target, bool) {
+	addr, err := netip.ParseAddrPort(b.GetAddress())
+	if err != nil || b.GetSlots() == 0 {
+		return nil, false
+	}
+	return &Target{
+		ID:       TargetID(b.GetId()),
+		Service:  b.GetService(),
+		Address:  addr,
+		Zone:     b.GetZone(),
+		Slots:    int(b.GetSlots()),
+		Draining: b.GetDraining(),
+		Cold:     duration(b.GetCold()),
+		Born:     b.GetBorn(),
+	}, true
+}
+
+func packConfiguration(c *Configuration) *hsschema.Configuration {
+	out := &hsschema.Configuration{Version: c.Version, Idle: milliseconds(c.Idle)}
+	for i := range c.Routes {
+		out.Routes = append(out.Routes, packRoute(&c.Routes[i]))
+	}
+	for _, s := range c.Services {
+		out.Services = append(out.Services, &hsschema.Pool{Name: s.Name, Health: s.Health, Connections: uint32(s.Connections)})
+	}
+	return out
+}
+
+func unpackConfiguration(m *hsschema.Configuration) (*Configuration, bool) {
+	out := &Configuration{Version: m.GetVersion(), Idle: duration(m.GetIdle())}
+	for _, r := range m.GetRoutes() {
+		route, ok := unpackRoute(r)
+		if !ok {
+			return nil, false
+		}
+		out.Routes = append(out.Routes, route)
+	}
+	for _, s := range m.GetServices() {
+		out.Services = append(out.Services, Service{Name: s.GetName(), Health: s.GetHealth(), Connections: int(s.GetConnections())})
+	}
+	return out, true
+}
+
+func packRoute(r *Route) *hsschema.Route {
+	out := &hsschema.Route{
+		Address:    r.At.String(),
+		Timeout:    milliseconds(r.Timeout),
+		Aim:        milliseconds(r.Aim),
+		Priority:   uint32(r.Priority),
+		Idempotent: r.Idempotent,
+		Earlier:    r.Earlier,
+	}
+	for _, s := range r.Shares {
+		out.Shares = append(out.Shares, &hsschema.Share{Service: s.Service, Weight: s.Weight})
+	}
+	return out
+}
+
+func unpackRoute(m *hsschema.Route) (Route, bool) {
+	at, err := netip.ParseAddrPort(m.GetAddress())
+	if err != nil || len(m.GetShares()) == 0 {
+		return Route{}, false
+	}
+	out := Route{
+		At:         at,
+		Timeout:    duration(m.GetTimeout()),
+		Aim:        duration(m.GetAim()),
+		Priority:   int(m.GetPriority()),
+		Idempotent: m.GetIdempotent(),
+		Earlier:    m.GetEarlier(),
+	}
+	for _, s := range m.GetShares() {
+		if s.GetWeight() == 0 {
+			return Route{}, false
+		}
+		out.Shares = append(out.Shares, Share{Service: s.GetService(), Weight: s.GetWeight()})
+	}
+	return out, true
+}
+
+func milliseconds(d time.Duration) uint32 { return uint32(d / time.Millisecond) }
+
+func duration(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
--- /dev/null
+++ b/internal/hsplace/place.go
@@ -0,0 +1,212 @@
+// Package hsplace decides which target takes a new flow, and when none may.
+//
+// It answers requests that each occupy one slot of a target for tens of
+// milliseconds, opened by callers that reach many entry hosts, each of which
+// sees only its own part: up to twice what the targets can serve, with targets
+// that start, drain, fall silent or cannot be reached.
+//
+// A Placer does no I/O and reads no clock.
+package hsplace
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"heatherstack.org/heatherstack/internal/hscode"
+	"heatherstack.org/heatherstack/internal/hsfeed"
+)
+
+type (
+	// Config holds the settings of a Placer.
+	Config struct {
+		// Availability zone of this entry host.
+		Zone string
+		// Seed of the choice among equal targets.
+		Seed uint64
+	}
+
+	// Load is what one host has open at one target.
+	Load struct {
+		Target hsfeed.TargetID
+		Flows  int
+	}
+
+	// Placer holds what one entry host knows of the targets' load. It is not
+	// safe for concurrent use.
+	Placer struct {
+		cfg     Config
+		rng     *rand.Rand
+		targets map[hsfeed.TargetID]*target
+		// Targets that take new flows, by service.
+		pools   map[string][]*target
+		reports map[string]report
+	}
+
+	target struct {
+		entry hsfeed.Entry
+		near  bool
+		// Open flows that this host placed or forwards.
+		own int
+		// Open flows that other hosts reported.
+		others int
+		evidence
+	}
+
+	report struct {
+		at    time.Time
+		loads []Load
+	}
+)
+
+const (
+	// farPenalty is added to the utilization of a target in another zone, so
+	// that one there is chosen only if the near ones are fuller by more than
+	// a slot of three.
+	farPenalty = 0.4
+	// coldSlots is the part of its slots that a target counts for while it is
+	// slow after its start.
+	coldSlots = 0.6
+	// reportLife is the time for which another host's report counts.
+	reportLife = 600 * time.Millisecond
+)
+
+// New returns a placer without targets.
+func New(cfg Config) *Placer {
+	return &Placer{
+		cfg:     cfg,
+		rng:     rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
+		targets: map[hsfeed.TargetID]*target{},
+		pools:   map[string][]*target{},
+		reports: map[string]report{},
+	}
+}
+
+// SetTargets takes the listed targets. What is known of those listed before
+// stays, unless they have started again.
+func (p *Placer) SetTargets(list []hsfeed.Entry) {
+	targets := make(map[hsfeed.TargetID]*target, len(list))
+	clear(p.pools)
+	for _, e := range list {
+		t := p.targets[e.ID]
+		if t == nil || t.entry.Born != e.Born {
+			t = &target{}
+		}
+		t.entry = e
+		t.near = e.Zone == p.cfg.Zone
+		targets[e.ID] = t
+		if !e.Draining {
+			p.pools[e.Service] = append(p.pools[e.Service], t)
+		}
+	}
+	p.targets = targets
+	p.countOthers()
+}
+
+// Open notes a flow at a target.
+func (p *Placer) Open(id hsfeed.TargetID) {
+	if t := p.targets[id]; t != nil {
+		t.own++
+	}
+}
+
+// Close notes the end of a flow at a target.
+func (p *Placer) Close(id hsfeed.TargetID) {
+	if t := p.targets[id]; t != nil && t.own > 0 {
+		t.own--
+	}
+}
+
+// Loads appends this host's open flows to dst, without targets that have none.
+func (p *Placer) Loads(dst []Load) []Load {
+	for id, t := range p.targets {
+		if t.own > 0 {
+			dst = append(dst, Load{Target: id, Flows: t.own})
+		}
+	}
+	return dst
+}
+
+// Report takes another host's open flows, which replace its earlier report.
+func (p *Placer) Report(now time.Time, host string, loads []Load) {
+	p.reports[host] = report{at: now, loads: loads}
+	p.countOthers()
+}
+
+// Tick forgets reports that are too old to count.
+func (p *Placer) Tick(now time.Time) {
+	expired := false
+	for host, r := range p.reports {
+		if now.Sub(r.at) > reportLife {
+			delete(p.reports, host)
+			expired = true
+		}
+	}
+	if expired {
+		p.countOthers()
+	}
+}
+
+// Choose returns the target for a new flow of a service.
+func (p *Placer) Choose(now time.Time, service string) (hsfeed.TargetID, hscode.Code) {
+	pool := p.pools[service]
+	if len(pool) == 0 {
+		return 0, hscode.FlowNoTarget
+	}
+	best := p.cheapest(now, pool, false)
+	if best == nil {
+		best = p.cheapest(now, pool, true)
+	}
+	best.chosen(now)
+	return best.entry.ID, hscode.OK
+}
+
+// cheapest returns the target of least cost, at random among equals, or nil if
+// all are ejected.
+func (p *Placer) cheapest(now time.Time, pool []*target, ejected bool) *target {
+	var best *target
+	least := 0.0
+	equal := 0
+	for _, t := range pool {
+		if !ejected && !t.usable(now) {
+			continue
+		}
+		c := t.cost(now)
+		switch {
+		case best == nil || c < least:
+			best, least, equal = t, c, 1
+		case c == least:
+			equal++
+			if p.rng.IntN(equal) == 0 {
+				best = t
+			}
+		}
+	}
+	return best
+}
+
+// cost is the utilization that the target would have with one more flow, and a
+// penalty for its distance.
+func (t *target) cost(now time.Time) float64 {
+	slots := float64(t.entry.Slots)
+	if now.Before(t.entry.ColdUntil) {
+		slots *= coldSlots
+	}
+	c := float64(t.own+t.others+1) / slots
+	if !t.near {
+		c += farPenalty
+	}
+	return c
+}
+
+func (p *Placer) countOthers() {
+	for _, t := range p.targets {
+		t.others = 0
+	}
+	for _, r := range p.reports {
+		for _, l := range r.loads {
+			if t := p.targets[l.Target]; t != nil {
+				t.others += l.Flows
+			}
+		}
+	}
+}
--- a/internal/hsroster/message.go
+++ b/internal/hsroster/message.go
@@ -12,18 +12,23 @@
 // than OK if the message was dropped.
 func (r *Roster) Receive(now time.Time, hb *hsschema.Heartbeat) (Output, hscode.Code) {
 	r.begin()
-	m := r.members[hb.GetFrom()]
+	m := r.admit(now, hb.GetFrom())
 	if m == nil {
 		return r.out, hscode.PeerUnknown
 	}
-	if hb.GetBoot() < m.boot {
+	if r.old(now, m, hb) {
 		return r.out, hscode.PeerOldBoot
 	}
+	started := hb.GetBoot() != m.boot
 	r.heardFrom(now, m, hb)
 	r.rumors(now, hb)
 	switch hb.GetKind() {
 	case hsschema.Heartbeat_KIND_PING:
 		r.send(m.name, hsschema.Heartbeat_KIND_ACK, hb.GetSeq(), "")
+		if started && r.cfg.Admit > 0 {
+			r.welcome()
+		}
+	case hsschema.Heartbeat_KIND_UPDATE, hsschema.Heartbeat_KIND_LOADS:
 	case hsschema.Heartbeat_KIND_ACK:
 		r.acked(now, hb)
 	case hsschema.Heartbeat_KIND_PROBE:
@@ -34,9 +39,34 @@
 	return r.out, hscode.OK
 }
 
+// old reports whether a message is of an earlier boot. Where boot numbers come
+// from a clock that may be set back, a lower one is believed once the higher
+// one has been silent for long enough to be dead.
+func (r *Roster) old(now time.Time, m *member, hb *hsschema.Heartbeat) bool {
+	if hb.GetBoot() >= m.boot {
+		return false
+	}
+	return r.cfg.Admit == 0 || now.Sub(m.heard) <= r.cfg.Probe+r.cfg.Suspect
+}
+
+// welcome adds what a host that has just started should know to the answer
+// that was written last: the members alive.
+func (r *Roster) welcome() {
+	hb := r.out.Sends[len(r.out.Sends)-1].Message
+	for _, name := range sortedKeys(r.members) {
+		m := r.members[name]
+		if len(hb.GetRumors()) >= welcomeRumors {
+			return
+		}
+		if m.state == Alive && m.boot > 0 {
+			hb.Rumors = append(hb.Rumors, &hsschema.Rumor{Host: name, Boot: m.boot, Refute: m.refute, State: rumorState(m.state)})
+		}
+	}
+}
+
 // heardFrom notes that the member itself spoke, which proves it alive.
 func (r *Roster) heardFrom(now time.Time, m *member, hb *hsschema.Heartbeat) {
-	if hb.GetBoot() > m.boot {
+	if hb.GetBoot() != m.boot {
 		m.boot = hb.GetBoot()
 		m.refute = 0
 		r.spreadAgain()
@@ -44,6 +74,9 @@
 	m.heard = now
 	m.version = hb.GetVersion()
 	m.digest = hb.GetDigest()
+	m.zone = hb.GetZone()
+	m.reading = hb.GetReading()
+	m.refused = hb.GetRefused()
 	switch {
 	case hb.GetGone():
 		r.set(now, m, Dead)
@@ -107,6 +140,11 @@
 			continue
 		}
 		m := r.members[rumor.GetHost()]
+		if m == nil && rumor.GetState() == hsschema.Rumor_STATE_ALIVE {
+			if m = r.admit(now, rumor.GetHost()); m != nil {
+				r.ping(now, m.name)
+			}
+		}
 		if m == nil || rumor.GetBoot() < m.boot {
 			continue
 		}
@@ -162,6 +200,9 @@
 		Leaving: r.leaving,
 		Gone:    r.gone,
 		Rumors:  r.pickRumors(),
+		Zone:    r.cfg.Zone,
+		Reading: r.reading,
+		Refused: r.refused,
 	}
 	// An ack follows at once on the other's message; a ping's loads suffice.
 	if kind == hsschema.Heartbeat_KIND_PING {
--- a/internal/hsroster/roster.go
+++ b/internal/hsroster/roster.go
@@ -33,6 +33,26 @@
 		Suspect time.Duration
 		// Seed of the order of probes.
 		Seed uint64
+		// If positive, there is no published host list: whoever sends a
+		// heartbeat or is named by a member is admitted, up to this number.
+		Admit int
+		// Availability zone, which heartbeats carry; may be empty.
+		Zone string
+	}
+
+	// Peer is what a roster holds about one member, for those who choose among
+	// members.
+	Peer struct {
+		Name string
+		// Empty until the member was heard.
+		Zone  string
+		Alive bool
+		// Time of the last message from the member itself.
+		Heard time.Time
+		// True if the member says that it reads the store.
+		Reading bool
+		// True if the member says that the store does not answer it.
+		Refused bool
 	}
 
 	// Send is a heartbeat to a member.
@@ -75,6 +95,9 @@
 		digest  uint64
 		history uint64
 		loads   []*hsschema.Load
+		// What heartbeats say of this host and the store.
+		reading bool
+		refused bool
 		out     Output
 	}
 
@@ -92,6 +115,11 @@
 		spread  int
 		version uint64
 		digest  uint64
+		zone    string
+		reading bool
+		refused bool
+		// True if the member stays listed when it is dead.
+		seed bool
 	}
 
 	probe struct {
@@ -125,6 +153,16 @@
 	maxRumors = 6
 	// spreadTimes is how often a change is spread by each member.
 	spreadTimes = 6
+	// tellMost bounds the members that are told of a change at once; the
+	// others hear of it from the probes.
+	tellMost = 16
+	// welcomeRumors bounds what a member that has just started is told of the
+	// others, so that the message fits into one packet.
+	welcomeRumors = 32
+	// forgetAfter is the time after which a dead member is no longer probed
+	// where no host list names it. Partitions that last longer heal through
+	// the seeds.
+	forgetAfter = time.Minute
 )
 
 // New returns a roster without members.
@@ -161,6 +199,81 @@
 	return r.out
 }
 
+// Seed admits members by name that stay listed for good.
+func (r *Roster) Seed(now time.Time, names []string) Output {
+	r.begin()
+	for _, name := range names {
+		if m := r.admit(now, name); m != nil && !m.seed {
+			m.seed = true
+			r.ping(now, name)
+		}
+	}
+	return r.out
+}
+
+// Peers returns the members by name.
+func (r *Roster) Peers() []Peer {
+	out := make([]Peer, 0, len(r.members))
+	for _, name := range sortedKeys(r.members) {
+		m := r.members[name]
+		out = append(out, Peer{
+			Name: name,
+			Zone: m.zone,
+			// A member that was never heard is a name, not a host.
+			Alive:   m.boot > 0 && (m.state == Alive || m.state == Suspect),
+			Heard:   m.heard,
+			Reading: m.reading,
+			Refused: m.refused,
+		})
+	}
+	return out
+}
+
+// Message returns a heartbeat that expects no answer, for the caller to fill.
+func (r *Roster) Message(kind hsschema.Heartbeat_Kind) *hsschema.Heartbeat {
+	r.begin()
+	r.send("", kind, 0, "")
+	hb := r.out.Sends[0].Message
+	r.begin()
+	return hb
+}
+
+// SetStore notes what heartbeats say of this host and the store, and tells the
+// members if it changed.
+func (r *Roster) SetStore(now time.Time, reading, refused bool) Output {
+	r.begin()
+	if r.reading != reading || r.refused != refused {
+		r.reading, r.refused = reading, refused
+		r.tellAll(now)
+	}
+	return r.out
+}
+
+// admit returns the member with a name, which is added if there is room and no
+// host list. It returns nil for this host itself and for a stranger.
+func (r *Roster) admit(now time.Time, name string) *member {
+	if m := r.members[name]; m != nil || name == r.cfg.Self || name == "" || len(r.members) >= r.cfg.Admit {
+		return m
+	}
+	m := &member{name: name, state: Alive, since: now, heard: now}
+	r.members[name] = m
+	r.order = append(r.order, name)
+	r.out.Changed = true
+	return m
+}
+
+// forget drops members that have been dead for long, if no list names them.
+func (r *Roster) forget(now time.Time) {
+	if r.cfg.Admit == 0 {
+		return
+	}
+	for name, m := range r.members {
+		if m.state == Dead && !m.seed && now.Sub(m.since) > forgetAfter {
+			delete(r.members, name)
+		}
+	}
+}
+
 // SetForce notes the manifest in force here, which heartbeats carry, and tells
 // all members at once, so that a change spreads faster than the probes.
 func (r *Roster) SetForce(now time.Time, version, digest, history uint64) Output {
@@ -172,6 +285,12 @@
 	return r.out
 }
 
+// SetVersion notes the version in force here, which heartbeats carry, without
+// telling anyone at once.
+func (r *Roster) SetVersion(version uint64) {
+	r.version = version
+}
+
 // SetHistory notes the placement history held here, which heartbeats carry.
 func (r *Roster) SetHistory(history uint64) {
 	r.history = history
@@ -234,6 +353,7 @@
 		}
 		r.probeDead()
 	}
+	r.forget(now)
 	for seq, rl := range r.relays {
 		if now.Sub(rl.at) > r.cfg.Suspect {
 			delete(r.relays, seq)
@@ -300,6 +420,10 @@
 		names = append(names, name)
 	}
 	slices.Sort(names)
+	if r.cfg.Admit > 0 && len(names) > tellMost {
+		r.rng.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+		names = names[:tellMost]
+	}
 	for _, name := range names {
 		if r.members[name].state != Dead {
 			r.ping(now, name)
