--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Developer commands. Each is also what CI runs or what a page names.
 
-MODULES  = . ./cmd/hsctl ./cmd/hsentry ./cmd/hslab
-PACKAGES = ./... ./cmd/hsctl/... ./cmd/hsentry/... ./cmd/hslab/...
+MODULES  = . ./cmd/hsctl ./cmd/hsdirect ./cmd/hsentry ./cmd/hslab
+PACKAGES = ./... ./cmd/hsctl/... ./cmd/hsdirect/... ./cmd/hsentry/... ./cmd/hslab/...
 LINT     = go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 GEN_GO   = google.golang.org/protobuf/cmd/protoc-gen-go@v1.36.12
 GEN_RPC  = connectrpc.com/connect/cmd/protoc-gen-connect-go@v1.21.1
@@ -15,9 +15,9 @@
 test: ## run all tests with the race detector
 	go test -race $(PACKAGES)
 
-build: ## build the three programs into bin/
+build: ## build the programs into bin/
 	mkdir -p bin
-	go build -o bin/ ./cmd/hsctl ./cmd/hsentry ./cmd/hslab
+	go build -o bin/ ./cmd/hsctl ./cmd/hsdirect ./cmd/hsentry ./cmd/hslab
 
 vet: ## run go vet
 	go vet $(PACKAGES)
--- /dev/null
+++ b/internal/hscookie/admit.go
@@ -0,0 +1,142 @@
+package hscookie
+
+import (
+	"bytes"
+	"math"
+	"time"
+
+	"heatherstack.org/heatherstack/internal/hscode"
+	"heatherstack.org/heatherstack/internal/hsflow"
+	"heatherstack.org/heatherstack/internal/hsqueue"
+)
+
+// held is an opening packet that waits for a free slot.
+type held struct {
+	packet  Packet
+	key     hsflow.Key
+	hash    uint64
+	service string
+}
+
+const (
+	// maxHeld bounds the packets held: more than a host's share of what a full
+	// fleet serves in the time until callers give up.
+	maxHeld = 512
+	// fullLoad is the utilization of a target up to which a flow is placed that
+	// can still meet its objective; what is above 1 waits at the target, so that
+	// no slot is idle while a host learns that it is free.
+	fullLoad = 2.7
+	// lateLoad is the same for a flow that cannot.
+	lateLoad = 2.0
+	// settleTime is the time after the start for which nothing is held. While
+	// hosts return, the routers move flows between them, and a flow counts at
+	// each host that it passed; targets that look full are not.
+	settleTime = 3 * time.Second
+	// workShare is the part of a latency objective that the request itself may
+	// take, and that has to be left when it is placed.
+	workShare = 0.4
+	// attemptTime is the time after which a caller ends an attempt that was not
+	// answered, and attemptMargin what the way to the target takes of it.
+	attemptTime   = 1400 * time.Millisecond
+	attemptMargin = 50 * time.Millisecond
+)
+
+// copyTimes are the times after the opening packet at which a caller sends its
+// copies.
+var copyTimes = []time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond}
+
+// admit places a flow, or holds its opening packet while its service is full.
+func (c *Core) admit(now time.Time, r *heldRoute, h *held) Verdict {
+	it := newItem(now, r, h)
+	if c.held.Len() == 0 || it.InTime(now) {
+		if v := c.placeItem(now, &it); v.Action != Hold {
+			return v
+		}
+	}
+	if old := c.held.Find(func(v *held) bool { return v.key == h.key }); old != nil {
+		return Verdict{Action: Hold}
+	}
+	it.Value.packet.Raw = bytes.Clone(h.packet.Raw)
+	out, dropped := c.held.Push(now, it)
+	if !dropped {
+		return Verdict{Action: Hold}
+	}
+	if out.Value.key == h.key {
+		return Verdict{Action: Refuse, Code: hscode.FlowOverload}
+	}
+	c.refused = append(c.refused, out.Value.packet)
+	return Verdict{Action: Hold}
+}
+
+func newItem(now time.Time, r *heldRoute, h *held) hsqueue.Item[held] {
+	since := now.Add(-copyTimes[min(int(h.packet.Copies), len(copyTimes)-1)])
+	aim := r.Aim - time.Duration(workShare*float64(r.Aim))
+	return hsqueue.Item[held]{
+		Since:    since,
+		Aim:      since.Add(aim),
+		End:      since.Add(attemptTime - attemptMargin),
+		Priority: r.Priority,
+		Value:    *h,
+	}
+}
+
+// limit returns the utilization of a target up to which an item is placed.
+func (c *Core) limit(now time.Time, it *hsqueue.Item[held]) float64 {
+	switch {
+	case now.Sub(c.cfg.Start) < settleTime:
+		return math.Inf(1)
+	case it.InTime(now):
+		return fullLoad
+	default:
+		return lateLoad
+	}
+}
+
+// placeItem places the flow of one item, or answers Hold.
+func (c *Core) placeItem(now time.Time, it *hsqueue.Item[held]) Verdict {
+	most := c.limit(now, it)
+	h := &it.Value
+	id, code := c.place.Choose(now, h.service, most)
+	switch code {
+	case hscode.OK:
+	case hscode.FlowOverload:
+		return Verdict{Action: Hold}
+	default:
+		return Verdict{Action: Refuse, Code: code}
+	}
+	d := c.targets.byID[id]
+	c.add(now, &h.key, h.hash, id, true)
+	c.Stats.Placed++
+	return Verdict{Action: Forward, To: d.address, Target: id, Cookie: d.cookie, Placed: true}
+}
+
+// Release returns the next held packet that is decided, and false if none is.
+func (c *Core) Release(now time.Time) (Packet, Verdict, bool) {
+	if n := len(c.refused) - 1; n >= 0 {
+		p := c.refused[n]
+		c.refused = c.refused[:n]
+		return p, c.note(Verdict{Action: Refuse, Code: hscode.FlowOverload}), true
+	}
+	full := map[string]bool{}
+	for {
+		it := c.held.First(now, func(it *hsqueue.Item[held]) bool { return !full[it.Value.service] })
+		if it == nil {
+			return Packet{}, Verdict{}, false
+		}
+		v := c.placeItem(now, it)
+		if v.Action == Hold {
+			full[it.Value.service] = true
+			continue
+		}
+		p := it.Value.packet
+		c.held.Remove(it)
+		return p, c.note(v), true
+	}
+}
+
+// expire forgets held packets whose callers have given up the attempt.
+func (c *Core) expire(now time.Time) {
+	for _, ok := c.held.Expire(now); ok; _, ok = c.held.Expire(now) {
+		c.Counts[hscode.FlowOverload]++
+	}
+}
--- a/internal/hscookie/core.go
+++ b/internal/hscookie/core.go
@@ -8,6 +8,7 @@
 	"heatherstack.org/heatherstack/internal/hsfeed"
 	"heatherstack.org/heatherstack/internal/hsflow"
 	"heatherstack.org/heatherstack/internal/hsplace"
+	"heatherstack.org/heatherstack/internal/hsqueue"
 )
 
 type (
@@ -19,6 +20,8 @@
 		// Time for which packets of open flows go to a target that is not
 		// listed any more: the longest life of a flow.
 		Life time.Duration
+		// Time of the start.
+		Start time.Time
 	}
 
 	// Action says what becomes of a packet.
@@ -47,6 +50,7 @@
 		Adopted   uint64
 		Ejected   uint64
 		Expired   uint64
+		Held      uint64
 	}
 
 	// Core decides about callers' packets. It is not safe for concurrent use.
@@ -56,9 +60,14 @@
 		routes  routes
 		targets targets
 		flows   *hsflow.Table[flow]
+		held    *hsqueue.Queue[held]
+		// Packets that the queue had no room for, to be refused.
+		refused []Packet
 		// Flows whose opening packet has no answer yet, oldest first.
 		opening queue
 		swept   time.Time
+		// Usual time from a flow's first packet to the caller's end of it.
+		duration time.Duration
 		// Entry of flows at which the next search for quiet ones begins.
 		cursor int
 		Stats  Stats
@@ -75,6 +84,8 @@
 	Forward
 	// Refuse resets the flow towards the caller.
 	Refuse
+	// Hold keeps the packet until Core.Release returns it.
+	Hold
 )
 
 // New returns a core without routes and targets.
@@ -83,6 +94,7 @@
 		cfg:    cfg,
 		place:  hsplace.New(cfg.Place),
 		flows:  hsflow.NewTable[flow](),
+		held:   hsqueue.New[held](hsqueue.Config{Limit: maxHeld}),
 		Counts: map[hscode.Code]uint64{},
 	}
 }
@@ -114,17 +126,24 @@
 	return len(c.routes.byPlace) > 0 && len(c.targets.byID) > 0
 }
 
-// Packet decides about a caller's packet.
+// Packet decides about a caller's packet. A packet that is held is the head
+// only; it has no data.
 func (c *Core) Packet(now time.Time, p *Packet) Verdict {
-	v := c.decide(now, p)
-	if v.Action == Forward {
+	return c.note(c.decide(now, p))
+}
+
+func (c *Core) note(v Verdict) Verdict {
+	switch v.Action {
+	case Forward:
 		c.Stats.Forwarded++
 		return v
-	}
-	c.Counts[v.Code]++
-	if v.Action == Refuse {
+	case Hold:
+		c.Stats.Held++
+		return v
+	case Refuse:
 		c.Stats.Resets++
 	}
+	c.Counts[v.Code]++
 	return v
 }
 
@@ -159,7 +178,7 @@
 	return Verdict{Action: Refuse, Code: hscode.FlowNoService}
 }
 
-func (c *Core) open(now time.Time, p *Packet, r *route, key *hsflow.Key, hash uint64) Verdict {
+func (c *Core) open(now time.Time, p *Packet, r *heldRoute, key *hsflow.Key, hash uint64) Verdict {
 	if r == nil || !r.until.IsZero() {
 		if c.routes.version == 0 {
 			return Verdict{Code: hscode.FlowNoService}
@@ -170,26 +189,22 @@
 		if d := c.targets.byID[f.target]; d != nil && r.had(d.service) {
 			c.Stats.Copies++
 			f.seen = now
+			c.count(f)
 			return Verdict{Action: Forward, To: d.address, Target: d.id, Cookie: d.cookie}
 		}
 	}
 	if len(c.targets.byID) == 0 {
 		return Verdict{Code: hscode.FlowNoTarget}
 	}
-	id, code := c.place.Choose(now, r.service(hash))
-	if code != hscode.OK {
-		return Verdict{Action: Refuse, Code: code}
-	}
-	d := c.targets.byID[id]
-	c.add(now, key, hash, id, true)
-	c.Stats.Placed++
-	return Verdict{Action: Forward, To: d.address, Target: id, Cookie: d.cookie, Placed: true}
+	h := held{packet: *p, key: *key, hash: hash, service: r.service(hash)}
+	return c.admit(now, r, &h)
 }
 
 // Tick lets time pass.
 func (c *Core) Tick(now time.Time) {
 	c.stepOpening(now)
 	c.place.Tick(now)
+	c.expire(now)
 	if now.Sub(c.swept) >= sweepInterval {
 		c.swept = now
 		c.sweep(now)
--- /dev/null
+++ b/internal/hscookie/core_test.go
@@ -0,0 +1,294 @@
+package hscookie
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"heatherstack.org/heatherstack/internal/hscode"
+	"heatherstack.org/heatherstack/internal/hsfeed"
+	"heatherstack.org/heatherstack/internal/hsplace"
+)
+
+const life = time.Minute
+
+var (
+	epoch  = time.Unix(1_000_000, 0)
+	desk   = netip.MustParseAddrPort("198.18.0.1:443")
+	vault  = netip.MustParseAddrPort("198.18.0.2:443")
+	caller = netip.MustParseAddrPort("100.64.0.7:40001")
+)
+
+func route(at netip.AddrPort, service string, earlier ...string) hsfeed.Route {
+	return hsfeed.Route{At: at, Shares: []hsfeed.Share{{Service: service, Weight: 1}}, Timeout: 2 * time.Second, Earlier: earlier}
+}
+
+func target(id hsfeed.TargetID, service string) hsfeed.Entry {
+	addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(id)}), 80)
+	return hsfeed.Entry{Target: hsfeed.Target{ID: id, Service: service, Address: addr, Zone: "a", Slots: 3}}
+}
+
+func newCore(targets ...hsfeed.Entry) *Core {
+	c := New(Config{Place: hsplace.Config{Zone: "a", Seed: 1}, MaxFlows: 100, Life: life, Start: epoch})
+	c.SetConfiguration(epoch, &hsfeed.Configuration{Version: 1, Routes: []hsfeed.Route{route(desk, "desk"), route(vault, "vault")}})
+	c.SetTargets(epoch, targets)
+	return c
+}
+
+func openPacket(from, to netip.AddrPort) *Packet { return &Packet{From: from, To: to, Flags: Open} }
+
+func laterPacket(from, to netip.AddrPort, c Cookie) *Packet {
+	return &Packet{From: from, To: to, Flags: Ack, Cookie: c}
+}
+
+// TestCookieNamesTarget checks that a later packet reaches the target of the
+// opening one at a host that never saw the flow.
+func TestCookieNamesTarget(t *testing.T) {
+	list := []hsfeed.Entry{target(1, "desk"), target(2, "desk"), target(3, "vault")}
+	first, second := newCore(list...), newCore(list...)
+	v := first.Packet(epoch, openPacket(caller, desk))
+	assert.Equal(t, v.Action, Forward)
+	assert.Assert(t, v.Cookie != 0)
+	w := second.Packet(epoch, laterPacket(caller, desk, v.Cookie))
+	assert.Equal(t, w.Target, v.Target)
+	assert.Equal(t, w.To, v.To)
+}
+
+// TestCopyFollowsFirst checks that a copy of the opening packet goes where the
+// first one went, however full that target is by then.
+func TestCopyFollowsFirst(t *testing.T) {
+	c := newCore(target(1, "desk"), target(2, "desk"))
+	v := c.Packet(epoch, openPacket(caller, desk))
+	for i := range 20 {
+		c.Report(epoch, "other", []hsplace.Load{{Target: v.Target, Flows: 50 + i}})
+	}
+	w := c.Packet(epoch.Add(200*time.Millisecond), openPacket(caller, desk))
+	assert.Equal(t, w.Target, v.Target)
+	assert.Assert(t, !w.Placed)
+}
+
+// TestForgedCookie checks that a cookie of another service's target, an unknown
+// one and none are dropped in silence: a reset could end a flow that another
+// host knows.
+func TestForgedCookie(t *testing.T) {
+	c := newCore(target(1, "desk"), target(3, "vault"))
+	for _, cookie := range []Cookie{NewCookie("vault", 3), 12345, 0} {
+		v := c.Packet(epoch, laterPacket(caller, desk, cookie))
+		assert.Equal(t, v.Action, Drop)
+		assert.Equal(t, v.Code, hscode.FlowUnknownCookie)
+	}
+}
+
+// TestAmbiguousCookie checks that a cookie which could name two targets of a
+// route is dropped.
+func TestAmbiguousCookie(t *testing.T) {
+	c := newCore(target(1, "desk"), target(2, "desk"))
+	cookie := NewCookie("desk", 1)
+	c.targets.byCookie[cookie] = append(c.targets.byCookie[cookie], c.targets.byID[2])
+	assert.Equal(t, c.Packet(epoch, laterPacket(caller, desk, cookie)).Code, hscode.FlowUnknownCookie)
+}
+
+// TestGoneTargetKeepsFlows checks that open flows of a target whose entry
+// lapsed go on to it, that new ones do not, and that this ends.
+func TestGoneTargetKeepsFlows(t *testing.T) {
+	c := newCore(target(1, "desk"))
+	v := c.Packet(epoch, openPacket(caller, desk))
+	c.SetTargets(epoch, []hsfeed.Entry{target(2, "desk")})
+	w := c.Packet(epoch, laterPacket(caller, desk, v.Cookie))
+	assert.Equal(t, w.Target, hsfeed.TargetID(1))
+	other := netip.AddrPortFrom(caller.Addr(), 40002)
+	assert.Equal(t, c.Packet(epoch, openPacket(other, desk)).Target, hsfeed.TargetID(2))
+	c.SetTargets(epoch.Add(life), []hsfeed.Entry{target(2, "desk")})
+	assert.Equal(t, c.Packet(epoch.Add(life), laterPacket(caller, desk, v.Cookie)).Action, Drop)
+}
+
+// TestDroppedRoute checks that a dropped route takes no new flow, that a flow
+// under way may finish its request, and that it is reset afterwards.
+func TestDroppedRoute(t *testing.T) {
+	c := newCore(target(1, "desk"))
+	v := c.Packet(epoch, openPacket(caller, desk))
+	c.SetConfiguration(epoch, &hsfeed.Configuration{Version: 2, Routes: []hsfeed.Route{route(vault, "vault")}})
+	other := netip.AddrPortFrom(caller.Addr(), 40002)
+	w := c.Packet(epoch, openPacket(other, desk))
+	assert.Equal(t, w.Action, Refuse)
+	assert.Equal(t, w.Code, hscode.FlowNoService)
+	assert.Equal(t, c.Packet(epoch.Add(time.Second), laterPacket(caller, desk, v.Cookie)).Action, Forward)
+	assert.Equal(t, c.Packet(epoch.Add(3*time.Second), laterPacket(caller, desk, v.Cookie)).Action, Refuse)
+}
+
+// TestChangedService checks that open flows stay with the service that a route
+// led to earlier, and new ones go to the new one.
+func TestChangedService(t *testing.T) {
+	c := newCore(target(1, "desk"), target(3, "vault"))
+	v := c.Packet(epoch, openPacket(caller, desk))
+	c.SetConfiguration(epoch, &hsfeed.Configuration{Version: 2, Routes: []hsfeed.Route{route(desk, "vault", "desk")}})
+	assert.Equal(t, c.Packet(epoch, laterPacket(caller, desk, v.Cookie)).Target, hsfeed.TargetID(1))
+	other := netip.AddrPortFrom(caller.Addr(), 40002)
+	assert.Equal(t, c.Packet(epoch, openPacket(other, desk)).Target, hsfeed.TargetID(3))
+}
+
+// TestUnknownRoute checks that a packet in the middle of a flow that this host
+// knows nothing of is dropped, while an opening packet is refused.
+func TestUnknownRoute(t *testing.T) {
+	c := newCore(target(1, "desk"))
+	nowhere := netip.MustParseAddrPort("198.18.0.9:443")
+	assert.Equal(t, c.Packet(epoch, laterPacket(caller, nowhere, 7)).Action, Drop)
+	assert.Equal(t, c.Packet(epoch, openPacket(caller, nowhere)).Action, Refuse)
+}
+
+// TestBeforeConfiguration checks that a host which knows nothing yet stays
+// silent, so that the copy of the packet finds it ready.
+func TestBeforeConfiguration(t *testing.T) {
+	c := New(Config{MaxFlows: 10, Life: life})
+	assert.Equal(t, c.Packet(epoch, openPacket(caller, desk)).Action, Drop)
+	assert.Assert(t, !c.Ready())
+}
+
+// TestCounts checks that a flow counts from its opening packet to its end, once,
+// wherever it is seen first, and that a quiet one is forgotten.
+func TestCounts(t *testing.T) {
+	c := newCore(target(1, "desk"))
+	v := c.Packet(epoch, openPacket(caller, desk))
+	c.Packet(epoch, laterPacket(caller, desk, v.Cookie))
+	assert.DeepEqual(t, c.Loads(nil), []hsplace.Load{{Target: 1, Flows: 1}})
+	fin := laterPacket(caller, desk, v.Cookie)
+	fin.Flags |= Fin
+	for range 2 {
+		c.Packet(epoch, fin)
+	}
+	c.Packet(epoch, laterPacket(caller, desk, v.Cookie))
+	assert.Equal(t, len(c.Loads(nil)), 0)
+	other := netip.AddrPortFrom(caller.Addr(), 40002)
+	c.Packet(epoch, laterPacket(other, desk, v.Cookie))
+	assert.DeepEqual(t, c.Loads(nil), []hsplace.Load{{Target: 1, Flows: 1}})
+	c.Tick(epoch.Add(quietTime))
+	assert.Equal(t, c.Flows(), 0)
+	assert.Equal(t, len(c.Loads(nil)), 0)
+}
+
+// TestFlowLimit checks that flows beyond the limit are forwarded all the same.
+func TestFlowLimit(t *testing.T) {
+	c := newCore(target(1, "desk"))
+	for port := range 200 {
+		from := netip.AddrPortFrom(caller.Addr(), uint16(1000+port))
+		assert.Equal(t, c.Packet(epoch, openPacket(from, desk)).Action, Forward)
+	}
+	assert.Equal(t, c.Flows(), 100)
+}
+
+// TestSplitRoute checks that a split route's new flows follow its weights.
+func TestSplitRoute(t *testing.T) {
+	split := route(desk, "desk")
+	split.Shares = []hsfeed.Share{{Service: "desk", Weight: 9}, {Service: "vault", Weight: 1}}
+	r := heldRoute{Route: split}
+	counts := map[string]int{}
+	for hash := range uint64(1000) {
+		counts[r.service(hash)]++
+	}
+	assert.DeepEqual(t, counts, map[string]int{"desk": 900, "vault": 100})
+}
+
+// fullCore returns a core that has run for long, with one target whose slots are
+// taken and as many flows waiting there as may.
+func fullCore(t *testing.T) *Core {
+	t.Helper()
+	c := newCore(target(1, "desk"))
+	c.cfg.Start = epoch.Add(-time.Minute)
+	r := route(desk, "desk")
+	r.Aim = 250 * time.Millisecond
+	c.SetConfiguration(epoch, &hsfeed.Configuration{Version: 2, Routes: []hsfeed.Route{r}})
+	for port := uint16(1); port <= 8; port++ {
+		assert.Equal(t, c.Packet(epoch, openPacket(netip.AddrPortFrom(caller.Addr(), port), desk)).Action, Forward)
+	}
+	return c
+}
+
+func from(port uint16) netip.AddrPort { return netip.AddrPortFrom(caller.Addr(), port) }
+
+func finish(c *Core, now time.Time, port uint16) {
+	p := laterPacket(from(port), desk, NewCookie("desk", 1))
+	p.Flags |= Fin
+	c.Packet(now, p)
+}
+
+// TestHold plays a full target: what comes then is held and released as flows
+// end, the newest first as long as it can meet its objective, a copy of an older
+// one last.
+func TestHold(t *testing.T) {
+	c := fullCore(t)
+	old := openPacket(from(100), desk)
+	old.Copies = 2
+	old.Raw = []byte{1}
+	assert.Equal(t, c.Packet(epoch, old).Action, Hold)
+	old.Raw[0] = 9
+	for port := uint16(101); port <= 102; port++ {
+		now := epoch.Add(time.Duration(port-100) * time.Millisecond)
+		assert.Equal(t, c.Packet(now, openPacket(from(port), desk)).Action, Hold)
+	}
+	_, _, ok := c.Release(epoch.Add(5 * time.Millisecond))
+	assert.Assert(t, !ok)
+	now := epoch.Add(40 * time.Millisecond)
+	order := []uint16{102, 101}
+	for i, want := range order {
+		finish(c, now, uint16(i+1))
+		p, v, ok := c.Release(now)
+		assert.Assert(t, ok)
+		assert.Equal(t, v.Action, Forward)
+		assert.Equal(t, p.From.Port(), want)
+	}
+	for port := uint16(3); port <= 5; port++ {
+		finish(c, now, port)
+	}
+	p, v, ok := c.Release(now)
+	assert.Assert(t, ok)
+	assert.Equal(t, v.Action, Forward)
+	assert.Equal(t, p.From.Port(), uint16(100))
+	assert.DeepEqual(t, p.Raw, []byte{1})
+}
+
+// TestHeldCopy checks that a copy of a held packet is not held twice, and that
+// what its caller has given up is forgotten.
+func TestHeldCopy(t *testing.T) {
+	c := fullCore(t)
+	for copies := range uint32(2) {
+		p := openPacket(from(100), desk)
+		p.Copies = copies
+		now := epoch.Add(copyTimes[copies])
+		for port := uint16(1); port <= 8; port++ {
+			c.Packet(now, laterPacket(from(port), desk, NewCookie("desk", 1)))
+		}
+		assert.Equal(t, c.Packet(now, p).Action, Hold)
+	}
+	assert.Equal(t, c.held.Len(), 1)
+	c.expire(epoch.Add(attemptTime))
+	assert.Equal(t, c.held.Len(), 0)
+}
+
+// TestHeldFull checks that a packet for which there is no room is refused, and
+// that it is the one which is worth least.
+func TestHeldFull(t *testing.T) {
+	c := fullCore(t)
+	late := openPacket(from(100), desk)
+	late.Copies = 2
+	assert.Equal(t, c.Packet(epoch, late).Action, Hold)
+	for port := range uint16(maxHeld) {
+		assert.Equal(t, c.Packet(epoch, openPacket(from(1000+port), desk)).Action, Hold)
+	}
+	p, v, ok := c.Release(epoch)
+	assert.Assert(t, ok)
+	assert.Equal(t, v.Action, Refuse)
+	assert.Equal(t, v.Code, hscode.FlowOverload)
+	assert.Equal(t, p.From.Port(), uint16(100))
+}
+
+// TestReturn plays the return of all hosts: flows of before are counted by more
+// than one of them, and nothing is held on such counts.
+func TestReturn(t *testing.T) {
+	c := newCore(target(1, "desk"))
+	for port := range uint16(50) {
+		v := c.Packet(epoch.Add(time.Second), openPacket(from(1000+port), desk))
+		assert.Equal(t, v.Action, Forward)
+	}
+}
--- a/internal/hscookie/flow.go
+++ b/internal/hscookie/flow.go
@@ -17,6 +17,10 @@
 		// True once the caller ended the flow. It is not counted any more, and
 		// its late packets do not count it again.
 		closed bool
+		// True while the flow counts as load of its target.
+		counted bool
+		// Time of the flow's first packet here.
+		since time.Time
 	}
 
 	// queue holds opening flows in the order of their opening.
@@ -37,12 +41,20 @@
 	// unanswered: many times the longest way to a target and back to the
 	// caller, and a quarter of the time after which the caller sends a copy.
 	answerTime = 50 * time.Millisecond
-	// quietTime is the time without packets after which a flow is not counted
-	// any more. A caller sends again after 200 ms at most while it waits for
-	// its request to be taken, but is silent while the request runs.
+	// quietTime is the time without packets after which a flow is forgotten. Its
+	// packets may go through another host by then.
 	quietTime = 2 * time.Second
 	// sweepInterval is the time between two searches for quiet flows.
-	sweepInterval = 250 * time.Millisecond
+	sweepInterval = 50 * time.Millisecond
+	// idleFactor is how many times the usual duration of a flow one may be
+	// silent and still count as load: its caller says nothing while the request
+	// waits and runs.
+	idleFactor = 2
+	// idleMin and idleMax bound the time that follows from it.
+	idleMin = 150 * time.Millisecond
+	idleMax = time.Second
+	// durationWeight is the weight of one more flow in the usual duration.
+	durationWeight = 1.0 / 64
 	// sweepEntries bounds the entries looked at in one search, so that it takes
 	// well under a millisecond.
 	sweepEntries = 4096
@@ -57,8 +69,8 @@
 		return
 	}
 	f := c.flows.Put(key, hash)
-	*f = flow{target: id, seen: now, opening: isOpening}
-	c.place.Open(id)
+	*f = flow{target: id, seen: now, since: now, opening: isOpening}
+	c.count(f)
 	if isOpening {
 		c.opening.push(opening{key: *key, hash: hash, at: now})
 	}
@@ -83,21 +95,49 @@
 			c.place.Answered(d.id)
 		}
 	}
-	if f.target != d.id && !f.closed {
-		c.place.Close(f.target)
-		c.place.Open(d.id)
+	if f.closed {
+		return
+	}
+	if f.target != d.id {
+		c.uncount(f)
 		f.target = d.id
 	}
-	if ends && !f.closed {
+	if ends {
 		f.closed = true
-		c.place.Close(f.target)
+		c.uncount(f)
+		c.learn(now.Sub(f.since))
+		return
 	}
+	c.count(f)
 }
 
-func (c *Core) remove(key *hsflow.Key, hash uint64, f *flow) {
-	if !f.closed {
+// learn takes the duration of a flow that ended.
+func (c *Core) learn(d time.Duration) {
+	c.duration += time.Duration(durationWeight * float64(d-c.duration))
+}
+
+// idle returns the time without packets after which a flow is not load any
+// more.
+func (c *Core) idle() time.Duration {
+	return min(max(idleFactor*c.duration, idleMin), idleMax)
+}
+
+func (c *Core) count(f *flow) {
+	if !f.counted {
+		f.counted = true
+		c.place.Open(f.target)
+	}
+}
+
+func (c *Core) uncount(f *flow) {
+	if f.counted {
+		f.counted = false
 		c.place.Close(f.target)
 	}
+}
+
+func (c *Core) remove(key *hsflow.Key, hash uint64, f *flow) {
+	c.uncount(f)
 	c.flows.Remove(key, hash)
 }
 
@@ -112,10 +152,16 @@
 	}
 }
 
-// sweep forgets flows that are quiet.
+// sweep forgets flows that are quiet, and no longer counts those that have been
+// silent for longer than a request takes.
 func (c *Core) sweep(now time.Time) {
+	idle := c.idle()
 	c.cursor = c.flows.Walk(c.cursor, sweepEntries, func(key *hsflow.Key, f *flow) {
-		if now.Sub(f.seen) < quietTime {
+		age := now.Sub(f.seen)
+		if age >= idle {
+			c.uncount(f)
+		}
+		if age < quietTime {
 			return
 		}
 		if !f.closed {
--- a/internal/hscookie/packet.go
+++ b/internal/hscookie/packet.go
@@ -25,6 +25,9 @@
 		Copies uint32
 		// Bytes of data.
 		Size int
+		// The packet as it arrived. It aliases the receive buffer unless the
+		// packet is held.
+		Raw []byte
 	}
 )
 
--- a/internal/hsdirect/core.go
+++ b/internal/hsdirect/core.go
@@ -63,6 +63,14 @@
 		Codes  []hscode.Code
 	}
 
+	// turn is the state of reports to one group of members.
+	turn struct {
+		// Time of the last report.
+		at time.Time
+		// Number of reports so far; says whose turn it is.
+		n int
+	}
+
 	// Core joins membership and published state: it decides whether this host
 	// reads the store, tells members what changed and asks those that know
 	// more. It does no I/O, reads no clock, and is not safe for concurrent use.
@@ -76,10 +84,10 @@
 		refused bool
 		leaving bool
 		fetched time.Time
-		// Times of the last report of loads, by whether to this host's zone.
-		nearReport time.Time
-		farReport  time.Time
-		out        Output
+		// Reports of loads to members of this zone and of others.
+		near turn
+		far  turn
+		out  Output
 	}
 )
 
@@ -102,10 +110,17 @@
 	// inside a heartbeat; a larger one would not fit into one packet.
 	inlineSize = 1100
 	// nearInterval and farInterval are the times between two reports of loads
-	// to members of this zone and of others. A request occupies its slot for
-	// about as long as the first.
-	nearInterval = 100 * time.Millisecond
-	farInterval  = 400 * time.Millisecond
+	// to members of this zone and of others. The model of a burst that is 2.4
+	// times the usual load needs the first; the second only guards against
+	// filling another zone's targets.
+	nearInterval = 200 * time.Millisecond
+	farInterval  = time.Second
+	// nearMost and farMost bound the members that get a report at a time. In a
+	// larger deployment they take turns, so that reports cost a host the same.
+	nearMost = 3
+	farMost  = 4
+	// loadsMost bounds the targets in a report.
+	loadsMost = 12
 	// pushMost bounds the members outside the zone that a reader sends updates
 	// to; their zones have readers of their own.
 	pushMost = 16
@@ -220,30 +235,47 @@
 
 // Loads takes this host's open flows and tells members of them.
 func (c *Core) Loads(now time.Time, loads []hsplace.Load) Output {
-	near := now.Sub(c.nearReport) >= nearInterval
-	far := now.Sub(c.farReport) >= farInterval
-	if near {
-		c.nearReport = now
-	}
-	if far {
-		c.farReport = now
+	var near, far []string
+	for _, p := range c.roster.Peers() {
+		switch {
+		case !p.Alive:
+		case p.Zone == c.cfg.Zone:
+			near = append(near, p.Name)
+		default:
+			far = append(far, p.Name)
+		}
 	}
-	if !near && !far {
+	due := c.near.next(now, nearInterval, near, nearMost)
+	due = append(due, c.far.next(now, farInterval, far, farMost)...)
+	if len(due) == 0 {
 		return c.take()
 	}
 	hb := c.roster.Message(hsschema.Heartbeat_KIND_LOADS)
-	for _, l := range loads {
+	slices.SortFunc(loads, func(a, b hsplace.Load) int { return cmp.Compare(b.Flows, a.Flows) })
+	for _, l := range loads[:min(len(loads), loadsMost)] {
 		hb.Loads = append(hb.Loads, &hsschema.Load{Target: uint64(l.Target), Flows: uint32(l.Flows)})
 	}
-	for _, p := range c.roster.Peers() {
-		isNear := p.Zone == c.cfg.Zone
-		if p.Alive && ((isNear && near) || (!isNear && far)) {
-			c.send(p.Name, hb)
-		}
+	for _, name := range due {
+		c.send(name, hb)
 	}
 	return c.take()
 }
 
+// next returns the members whose turn it is, up to most of them, if an interval
+// has passed.
+func (t *turn) next(now time.Time, interval time.Duration, members []string, most int) []string {
+	if now.Sub(t.at) < interval || len(members) == 0 {
+		return nil
+	}
+	t.at = now
+	due := make([]string, 0, most)
+	for range min(most, len(members)) {
+		due = append(due, members[t.n%len(members)])
+		t.n++
+	}
+	return due
+}
+
 // pushed takes an update that a member sent without being asked.
 func (c *Core) pushed(now time.Time, hb *hsschema.Heartbeat, from netip.Addr) {
 	u, ok := hsfeed.Unpack(hb.GetUpdate())
--- a/internal/hsdirect/data.go
+++ b/internal/hsdirect/data.go
@@ -63,6 +63,7 @@
 			},
 			MaxFlows: maxFlows,
 			Life:     e.cfg.Settings.Life,
+			Start:    e.started,
 		}),
 		counts: map[hscode.Code]uint64{},
 	}
@@ -106,7 +107,8 @@
 func (d *dataTask) tick(now time.Time) {
 	d.ticked = now
 	d.core.Tick(now)
-	if now.Sub(d.told) >= nearInterval {
+	d.release(now)
+	if now.Sub(d.told) >= TickInterval {
 		d.told = now
 		d.tellLoads()
 	}
@@ -157,14 +159,27 @@
 		return
 	}
 	d.e.traffic.Store(int64(now.Sub(d.e.started)))
+	d.pkt.Raw = data
 	v := d.core.Packet(now, &d.pkt)
+	d.carryOut(&d.pkt, &v)
+	d.release(now)
+}
+
+// release carries out what was decided about held packets.
+func (d *dataTask) release(now time.Time) {
+	for p, v, ok := d.core.Release(now); ok; p, v, ok = d.core.Release(now) {
+		d.carryOut(&p, &v)
+	}
+}
+
+func (d *dataTask) carryOut(p *hscookie.Packet, v *hscookie.Verdict) {
 	switch v.Action {
 	case hscookie.Forward:
-		d.out = d.e.cfg.Codec.AppendToTarget(d.out[:0], data, v.Target, v.Cookie)
+		d.out = d.e.cfg.Codec.AppendToTarget(d.out[:0], p.Raw, v.Target, v.Cookie)
 		d.write(v.To)
 	case hscookie.Refuse:
-		d.out = d.e.cfg.Codec.AppendReset(d.out[:0], &d.pkt)
-		d.write(d.e.cfg.Codec.Caller(&d.pkt))
+		d.out = d.e.cfg.Codec.AppendReset(d.out[:0], p)
+		d.write(d.e.cfg.Codec.Caller(p))
 	}
 }
 
--- /dev/null
+++ b/internal/hsfeed/keeper_test.go
@@ -0,0 +1,175 @@
+package hsfeed
+
+import (
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"heatherstack.org/heatherstack/internal/hscode"
+)
+
+var (
+	epoch = time.Unix(1_000_000, 0)
+	place = netip.MustParseAddrPort("198.18.0.1:443")
+)
+
+func configuration(version uint64, service string) *Configuration {
+	return &Configuration{Version: version, Routes: []Route{{
+		At:      place,
+		Shares:  []Share{{Service: service, Weight: 1}},
+		Timeout: time.Second,
+	}}}
+}
+
+func announce(id TargetID, slots int) *Target {
+	return &Target{ID: id, Service: "desk", Address: netip.MustParseAddrPort("10.0.0.1:80"), Zone: "a", Slots: slots}
+}
+
+func apply(t *testing.T, k *Keeper, u Update, want hscode.Code) Change {
+	t.Helper()
+	ch, code := k.Apply(epoch, &u)
+	assert.Equal(t, code, want)
+	return ch
+}
+
+// TestKeeperNeverGoesBack checks that an update which ends at an older revision
+// changes nothing, whatever it says.
+func TestKeeperNeverGoesBack(t *testing.T) {
+	k := &Keeper{}
+	apply(t, k, Update{Revision: 10, Events: []Event{{Revision: 9, Configuration: configuration(2, "desk")}}}, hscode.OK)
+	apply(t, k, Update{Revision: 8, Events: []Event{{Revision: 4, Configuration: configuration(1, "vault")}}}, hscode.OK)
+	apply(t, k, Update{Since: 3, Revision: 10, Events: []Event{{Revision: 4, Configuration: configuration(1, "vault")}}}, hscode.OK)
+	assert.Equal(t, k.Configuration().Version, uint64(2))
+	assert.Equal(t, k.Revision(), uint64(10))
+}
+
+// TestKeeperGap checks that changes which follow on an unknown revision are not
+// applied, since those in between would be lost.
+func TestKeeperGap(t *testing.T) {
+	k := &Keeper{}
+	apply(t, k, Update{Revision: 10, Events: []Event{{Revision: 9, Target: announce(1, 3)}}}, hscode.OK)
+	apply(t, k, Update{Since: 12, Revision: 13, Events: []Event{{Revision: 13, Gone: 1}}}, hscode.PeerGap)
+	assert.Equal(t, len(k.Targets()), 1)
+	ch := apply(t, k, Update{Since: 9, Revision: 13, Events: []Event{{Revision: 13, Gone: 1}}}, hscode.OK)
+	assert.Assert(t, ch.Targets)
+	assert.Equal(t, len(k.Targets()), 0)
+}
+
+// TestKeeperUnchangedList checks that reading the same state again keeps the
+// revision, so that no peer fetches it.
+func TestKeeperUnchangedList(t *testing.T) {
+	k := &Keeper{}
+	events := []Event{{Revision: 4, Configuration: configuration(1, "desk")}, {Revision: 5, Target: announce(1, 3)}}
+	apply(t, k, Update{Revision: 7, Events: events}, hscode.OK)
+	assert.Equal(t, apply(t, k, Update{Revision: 30, Events: events}, hscode.OK), Change{})
+	assert.Equal(t, k.Revision(), uint64(7))
+	apply(t, k, Update{Revision: 31, Events: events[:1]}, hscode.OK)
+	assert.Equal(t, k.Revision(), uint64(31))
+	assert.Equal(t, len(k.Targets()), 0)
+}
+
+// TestKeeperEarlierServices checks that a route keeps the services it led to
+// earlier, so that their open flows go on.
+func TestKeeperEarlierServices(t *testing.T) {
+	k := &Keeper{}
+	for i, service := range []string{"desk", "vault", "desk", "press"} {
+		v := uint64(i + 1)
+		apply(t, k, Update{Since: v, Revision: v + 1, Events: []Event{{Revision: v + 1, Configuration: configuration(v, service)}}}, gapAtStart(i))
+		if i == 0 {
+			apply(t, k, Update{Revision: 2, Events: []Event{{Revision: 2, Configuration: configuration(v, service)}}}, hscode.OK)
+		}
+	}
+	assert.DeepEqual(t, k.Configuration().Routes[0].Earlier, []string{"desk", "vault"})
+}
+
+// gapAtStart is the code of the n-th update to an empty keeper.
+func gapAtStart(n int) hscode.Code {
+	if n == 0 {
+		return hscode.PeerGap
+	}
+	return hscode.OK
+}
+
+// TestKeepersConverge plays random changes to a store that several keepers read
+// at different times, whole or by changes, from the store or from one another,
+// through the message form. Whoever ends at the same revision holds the same,
+// and no keeper ever goes back.
+func TestKeepersConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		store := &Keeper{}
+		store.Apply(epoch, &Update{Revision: 1, Events: []Event{{Revision: 1, Configuration: configuration(1, "desk")}}})
+		keepers := []*Keeper{{}, {}, {}}
+		steps := rapid.SliceOfN(rapid.IntRange(0, 99), 10, 80).Draw(t, "steps")
+		for _, step := range steps {
+			k := keepers[step%len(keepers)]
+			before := k.Revision()
+			switch step / 25 {
+			case 0, 1:
+				change(store, step)
+			case 2:
+				copyState(t, store, k)
+			case 3:
+				copyState(t, keepers[(step+1)%len(keepers)], k)
+			}
+			assert.Assert(t, k.Revision() >= before)
+		}
+		for _, k := range keepers {
+			copyState(t, store, k)
+			assert.Equal(t, k.Revision(), store.Revision())
+			assert.Assert(t, slices.EqualFunc(k.Targets(), store.Targets(), sameTarget))
+			assert.Equal(t, k.Configuration().Version, store.Configuration().Version)
+		}
+	})
+}
+
+// sameTarget compares two entries without their local times.
+func sameTarget(a, b Entry) bool {
+	a.ColdUntil = b.ColdUntil
+	return a == b
+}
+
+func change(store *Keeper, step int) {
+	r := store.Revision() + 1
+	ev := Event{Revision: r}
+	switch step % 3 {
+	case 0:
+		ev.Configuration = configuration(r, "desk")
+	case 1:
+		ev.Target = announce(TargetID(step%7+1), int(r))
+	default:
+		ev.Gone = TargetID(step%7 + 1)
+	}
+	store.Apply(epoch, &Update{Since: r - 1, Revision: r, Events: []Event{ev}})
+}
+
+func copyState(t *rapid.T, from, to *Keeper) {
+	u, ok := from.Since(to.Revision())
+	if !ok {
+		return
+	}
+	back, ok := Unpack(Pack(&u))
+	assert.Assert(t, ok)
+	_, code := to.Apply(epoch, &back)
+	assert.Equal(t, code, hscode.OK)
+}
+
+// TestLogIsBounded checks that a host which is too far behind gets the whole
+// state.
+func TestLogIsBounded(t *testing.T) {
+	k := &Keeper{}
+	apply(t, k, Update{Revision: 1, Events: []Event{{Revision: 1, Configuration: configuration(1, "desk")}}}, hscode.OK)
+	for r := uint64(2); r < maxLog+100; r++ {
+		apply(t, k, Update{Since: r - 1, Revision: r, Events: []Event{{Revision: r, Target: announce(1, int(r))}}}, hscode.OK)
+	}
+	assert.Equal(t, len(k.log), maxLog)
+	u, ok := k.Since(5)
+	assert.Assert(t, ok)
+	assert.Equal(t, u.Since, uint64(0))
+	u, ok = k.Since(maxLog + 90)
+	assert.Assert(t, ok)
+	assert.Equal(t, len(u.Events), 9)
+}
--- a/internal/hsplace/evidence.go
+++ b/internal/hsplace/evidence.go
@@ -6,17 +6,29 @@
 	"heatherstack.org/heatherstack/internal/hsfeed"
 )
 
-// evidence is what opening packets tell about one target.
-type evidence struct {
-	// Opening packets in a row that got no answer.
-	unanswered int
-	// Time until which the target gets no new flow; zero if not ejected.
-	until time.Time
-	// Duration of the present or last ejection.
-	ejection time.Duration
-	// True while a single flow tries the target after an ejection.
-	trial bool
-}
+type (
+	// evidence is what opening packets tell about a target, or about all of an
+	// availability zone.
+	evidence struct {
+		// Opening packets in a row that got no answer.
+		unanswered int
+		// Time until which there is no new flow; zero if not ejected.
+		until time.Time
+		// Duration of the present or last ejection.
+		ejection time.Duration
+		// True while a single flow tries again after an ejection.
+		trial bool
+	}
+
+	// zone is what opening packets tell about another availability zone: if
+	// several of its targets in a row do not answer, the zone cannot be reached.
+	zone struct {
+		evidence
+		// Target that left the last opening packet without answer. Another one
+		// of the same target says nothing of the zone.
+		last hsfeed.TargetID
+	}
+)
 
 const (
 	// ejectAfter is the number of opening packets without answer, with none
@@ -34,23 +46,37 @@
 func (p *Placer) Answered(id hsfeed.TargetID) {
 	if t := p.targets[id]; t != nil {
 		t.evidence = evidence{}
+		*t.zone = zone{}
 	}
 }
 
 // Unanswered notes that a target left an opening packet without answer. It
-// reports whether the target is ejected for it.
+// reports whether the target, or its whole zone, is ejected for it. This host's
+// own zone is never ejected whole: what it cannot reach there is its own fault.
 func (p *Placer) Unanswered(now time.Time, id hsfeed.TargetID) bool {
 	t := p.targets[id]
 	if t == nil {
 		return false
 	}
-	t.unanswered++
-	if now.Before(t.until) || (t.unanswered < ejectAfter && !t.trial) {
+	ejected := t.unansweredAt(now)
+	z := t.zone
+	if t.near || z.last == id {
+		return ejected
+	}
+	z.last = id
+	return z.unansweredAt(now) || ejected
+}
+
+// unansweredAt notes an opening packet without answer and reports whether that
+// leads to an ejection.
+func (e *evidence) unansweredAt(now time.Time) bool {
+	e.unanswered++
+	if now.Before(e.until) || (e.unanswered < ejectAfter && !e.trial) {
 		return false
 	}
-	t.ejection = min(max(2*t.ejection, ejectMin), ejectMax)
-	t.until = now.Add(t.ejection)
-	t.trial = false
+	e.ejection = min(max(2*e.ejection, ejectMin), ejectMax)
+	e.until = now.Add(e.ejection)
+	e.trial = false
 	return true
 }
 
--- a/internal/hsplace/place.go
+++ b/internal/hsplace/place.go
@@ -40,11 +40,15 @@
 		// Targets that take new flows, by service.
 		pools   map[string][]*target
 		reports map[string]report
+		// By name; never removed, since there are few.
+		zones map[string]*zone
 	}
 
 	target struct {
 		entry hsfeed.Entry
 		near  bool
+		// Shared by all targets of the zone.
+		zone *zone
 		// Open flows that this host placed or forwards.
 		own int
 		// Open flows that other hosts reported.
@@ -66,8 +70,9 @@
 	// coldSlots is the part of its slots that a target counts for while it is
 	// slow after its start.
 	coldSlots = 0.6
-	// reportLife is the time for which another host's report counts.
-	reportLife = 600 * time.Millisecond
+	// reportLife is the time for which another host's report counts: the time in
+	// which a member of a large zone gets its turn twice.
+	reportLife = 2500 * time.Millisecond
 )
 
 // New returns a placer without targets.
@@ -78,6 +83,7 @@
 		targets: map[hsfeed.TargetID]*target{},
 		pools:   map[string][]*target{},
 		reports: map[string]report{},
+		zones:   map[string]*zone{},
 	}
 }
 
@@ -93,6 +99,7 @@
 		}
 		t.entry = e
 		t.near = e.Zone == p.cfg.Zone
+		t.zone = p.zone(e.Zone)
 		targets[e.ID] = t
 		if !e.Draining {
 			p.pools[e.Service] = append(p.pools[e.Service], t)
@@ -102,6 +109,15 @@
 	p.countOthers()
 }
 
+func (p *Placer) zone(name string) *zone {
+	z := p.zones[name]
+	if z == nil {
+		z = &zone{}
+		p.zones[name] = z
+	}
+	return z
+}
+
 // Open notes a flow at a target.
 func (p *Placer) Open(id hsfeed.TargetID) {
 	if t := p.targets[id]; t != nil {
@@ -146,8 +162,9 @@
 	}
 }
 
-// Choose returns the target for a new flow of a service.
-func (p *Placer) Choose(now time.Time, service string) (hsfeed.TargetID, hscode.Code) {
+// Choose returns the target for a new flow of a service, or FlowOverload if even
+// the best one would be utilized above most.
+func (p *Placer) Choose(now time.Time, service string, most float64) (hsfeed.TargetID, hscode.Code) {
 	pool := p.pools[service]
 	if len(pool) == 0 {
 		return 0, hscode.FlowNoTarget
@@ -156,7 +173,11 @@
 	if best == nil {
 		best = p.cheapest(now, pool, true)
 	}
+	if best.load(now) > most {
+		return 0, hscode.FlowOverload
+	}
 	best.chosen(now)
+	best.zone.chosen(now)
 	return best.entry.ID, hscode.OK
 }
 
@@ -167,7 +188,7 @@
 	least := 0.0
 	equal := 0
 	for _, t := range pool {
-		if !ejected && !t.usable(now) {
+		if !ejected && (!t.usable(now) || !t.zone.usable(now)) {
 			continue
 		}
 		c := t.cost(now)
@@ -187,17 +208,22 @@
 // cost is the utilization that the target would have with one more flow, and a
 // penalty for its distance.
 func (t *target) cost(now time.Time) float64 {
-	slots := float64(t.entry.Slots)
-	if now.Before(t.entry.ColdUntil) {
-		slots *= coldSlots
-	}
-	c := float64(t.own+t.others+1) / slots
+	c := t.load(now)
 	if !t.near {
 		c += farPenalty
 	}
 	return c
 }
 
+// load is the utilization that the target would have with one more flow.
+func (t *target) load(now time.Time) float64 {
+	slots := float64(t.entry.Slots)
+	if now.Before(t.entry.ColdUntil) {
+		slots *= coldSlots
+	}
+	return float64(t.own+t.others+1) / slots
+}
+
 func (p *Placer) countOthers() {
 	for _, t := range p.targets {
 		t.others = 0
--- /dev/null
+++ b/internal/hsplace/place_test.go
@@ -0,0 +1,116 @@
+package hsplace
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"heatherstack.org/heatherstack/internal/hscode"
+	"heatherstack.org/heatherstack/internal/hsfeed"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+func entry(id hsfeed.TargetID, zone string) hsfeed.Entry {
+	return hsfeed.Entry{Target: hsfeed.Target{ID: id, Service: "desk", Zone: zone, Slots: 3}}
+}
+
+func newPlacer(list ...hsfeed.Entry) *Placer {
+	p := New(Config{Zone: "a", Seed: 1})
+	p.SetTargets(list)
+	return p
+}
+
+func choose(t *testing.T, p *Placer, now time.Time) hsfeed.TargetID {
+	t.Helper()
+	id, code := p.Choose(now, "desk", math.Inf(1))
+	assert.Equal(t, code, hscode.OK)
+	p.Open(id)
+	return id
+}
+
+// TestNearFirst checks that the near targets are filled up to their last slot
+// before far ones are used, and far ones before near ones queue.
+func TestNearFirst(t *testing.T) {
+	p := newPlacer(entry(1, "a"), entry(2, "a"), entry(3, "b"))
+	near := map[hsfeed.TargetID]int{}
+	for range 4 {
+		near[choose(t, p, epoch)]++
+	}
+	assert.DeepEqual(t, near, map[hsfeed.TargetID]int{1: 2, 2: 2})
+	assert.Equal(t, choose(t, p, epoch), hsfeed.TargetID(3))
+}
+
+// TestReports checks that other hosts' flows count until their report is old.
+func TestReports(t *testing.T) {
+	p := newPlacer(entry(1, "a"), entry(2, "a"))
+	p.Report(epoch, "h2", []Load{{Target: 1, Flows: 2}})
+	assert.Equal(t, choose(t, p, epoch), hsfeed.TargetID(2))
+	assert.Equal(t, choose(t, p, epoch), hsfeed.TargetID(2))
+	p.Tick(epoch.Add(2 * reportLife))
+	assert.Equal(t, choose(t, p, epoch), hsfeed.TargetID(1))
+}
+
+// TestCold checks that a target that has just started gets less.
+func TestCold(t *testing.T) {
+	cold := entry(1, "a")
+	cold.ColdUntil = epoch.Add(time.Second)
+	p := newPlacer(cold, entry(2, "a"))
+	got := map[hsfeed.TargetID]int{}
+	for range 8 {
+		got[choose(t, p, epoch)]++
+	}
+	assert.DeepEqual(t, got, map[hsfeed.TargetID]int{1: 3, 2: 5})
+}
+
+// TestDraining checks that a draining target takes nothing and that a service
+// without others refuses at once.
+func TestDraining(t *testing.T) {
+	leaving := entry(1, "a")
+	leaving.Draining = true
+	p := newPlacer(leaving)
+	_, code := p.Choose(epoch, "desk", math.Inf(1))
+	assert.Equal(t, code, hscode.FlowNoTarget)
+}
+
+// TestEjection plays a target that answers nothing: it is left out after two
+// opening packets, tried by one flow at a time, and back once that is answered.
+func TestEjection(t *testing.T) {
+	p := newPlacer(entry(1, "a"), entry(2, "a"))
+	assert.Assert(t, !p.Unanswered(epoch, 1))
+	assert.Assert(t, p.Unanswered(epoch, 1))
+	for range 5 {
+		assert.Equal(t, choose(t, p, epoch), hsfeed.TargetID(2))
+	}
+	later := epoch.Add(ejectMin)
+	assert.Equal(t, choose(t, p, later), hsfeed.TargetID(1))
+	assert.Equal(t, choose(t, p, later), hsfeed.TargetID(2))
+	assert.Assert(t, p.Unanswered(later, 1))
+	later = later.Add(2 * ejectMin)
+	assert.Equal(t, choose(t, p, later), hsfeed.TargetID(1))
+	p.Answered(1)
+	assert.Equal(t, choose(t, p, later), hsfeed.TargetID(1))
+}
+
+// TestAllEjected checks that a service whose targets are all ejected is still
+// served: the evidence may be this host's own trouble.
+func TestAllEjected(t *testing.T) {
+	p := newPlacer(entry(1, "a"))
+	p.Unanswered(epoch, 1)
+	p.Unanswered(epoch, 1)
+	assert.Equal(t, choose(t, p, epoch), hsfeed.TargetID(1))
+}
+
+// TestRestart checks that what is known of a target ends with its process.
+func TestRestart(t *testing.T) {
+	p := newPlacer(entry(1, "a"), entry(2, "a"))
+	for range 4 {
+		choose(t, p, epoch)
+	}
+	again := entry(1, "a")
+	again.Born = 5
+	p.SetTargets([]hsfeed.Entry{again, entry(2, "a")})
+	assert.DeepEqual(t, p.Loads(nil), []Load{{Target: 2, Flows: 2}})
+}
--- /dev/null
+++ b/internal/hsqueue/queue_test.go
@@ -0,0 +1,137 @@
+package hsqueue
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+func ms(n int) time.Time { return epoch.Add(time.Duration(n) * time.Millisecond) }
+
+// item was sent at a millisecond, can be in time for 150 ms, and ends after
+// 1,350.
+func item(sent, priority int, name string) Item[string] {
+	return Item[string]{Since: ms(sent), Aim: ms(sent + 150), End: ms(sent + 1350), Priority: priority, Value: name}
+}
+
+func drain(q *Queue[string], now time.Time) []string {
+	var out []string
+	for it := q.First(now, func(*Item[string]) bool { return true }); it != nil; {
+		out = append(out, it.Value)
+		q.Remove(it)
+		it = q.First(now, func(*Item[string]) bool { return true })
+	}
+	return out
+}
+
+// TestOrder checks the order of release: in time before late, urgent first, the
+// newest of those in time, the oldest of those that are late.
+func TestOrder(t *testing.T) {
+	q := New[string](Config{Limit: 10})
+	for _, it := range []Item[string]{
+		item(0, 2, "late-old"), item(100, 2, "late-new"), item(50, 1, "late-urgent"),
+		item(300, 2, "new"), item(250, 2, "newer-but-one"), item(200, 1, "urgent"),
+	} {
+		q.Push(ms(300), it)
+	}
+	assert.DeepEqual(t, drain(q, ms(300)), []string{"urgent", "new", "newer-but-one", "late-urgent", "late-old", "late-new"})
+}
+
+// TestFull checks that the item worth least is pushed out.
+func TestFull(t *testing.T) {
+	q := New[string](Config{Limit: 2})
+	q.Push(ms(0), item(0, 2, "a"))
+	q.Push(ms(300), item(300, 2, "b"))
+	out, dropped := q.Push(ms(300), item(299, 1, "c"))
+	assert.Assert(t, dropped)
+	assert.Equal(t, out.Value, "a")
+	out, dropped = q.Push(ms(301), item(-600, 2, "d"))
+	assert.Assert(t, dropped)
+	assert.Equal(t, out.Value, "d")
+}
+
+// TestExpire checks that items whose callers gave up are dropped.
+func TestExpire(t *testing.T) {
+	q := New[string](Config{Limit: 3})
+	q.Push(ms(0), item(0, 2, "a"))
+	q.Push(ms(0), item(100, 2, "b"))
+	it, ok := q.Expire(ms(1350))
+	assert.Assert(t, ok)
+	assert.Equal(t, it.Value, "a")
+	_, ok = q.Expire(ms(1350))
+	assert.Assert(t, !ok)
+}
+
+// burst plays flows at 1.5 times what the slots can serve, for two seconds, and
+// returns the share that was answered within 250 ms. Flows that found no slot
+// wait in the queue, or in order of arrival if q is nil.
+func burst(q *Queue[string]) float64 {
+	const (
+		slots   = 40
+		service = 60
+		arrive  = slots * 3 / 2
+		length  = 2000
+	)
+	var (
+		free   = slots
+		ends   = map[int]int{}
+		fifo   []Item[string]
+		total  int
+		inTime int
+	)
+	next := func(now int) *Item[string] {
+		if q != nil {
+			it := q.First(ms(now), func(*Item[string]) bool { return true })
+			if it == nil {
+				return nil
+			}
+			out := *it
+			q.Remove(it)
+			return &out
+		}
+		if len(fifo) == 0 {
+			return nil
+		}
+		out := fifo[0]
+		fifo = fifo[1:]
+		return &out
+	}
+	for now := range length + 1500 {
+		free += ends[now]
+		for n := arrive*(now+1)/service - arrive*now/service; n > 0 && now < length; n-- {
+			total++
+			if q == nil {
+				fifo = append(fifo, item(now, 2, ""))
+			} else {
+				q.Push(ms(now), item(now, 2, ""))
+			}
+		}
+		for free > 0 {
+			it := next(now)
+			if it == nil {
+				break
+			}
+			if ms(now).Before(it.End) {
+				free--
+				ends[now+service]++
+				if !ms(now + service).After(it.Since.Add(250 * time.Millisecond)) {
+					inTime++
+				}
+			}
+		}
+	}
+	return float64(inTime) / float64(total)
+}
+
+// TestBurst plays the load that the package answers: with the queue, the share
+// of callers that are answered in time is near what the slots can serve, two
+// thirds; in the order of arrival nearly all are late.
+func TestBurst(t *testing.T) {
+	inOrder := burst(nil)
+	queued := burst(New[string](Config{Limit: 1000}))
+	assert.Assert(t, inOrder < 0.4, "in order of arrival: %.2f", inOrder)
+	assert.Assert(t, queued > 0.6, "with the queue: %.2f", queued)
+}
