Log decisions, ejections and what the store answers; counters and durations on /metrics; fill near targets first

Cause: far targets were used while near ones had a free slot on targets with two slots, and were lost when zones were cut off; nothing told afterwards which targets were left out, or what decided a refusal.

Change: the penalty of far targets is 0.8 of their slots; one bounded log line for each refused, held or sampled flow with the inputs that decided it, and for each ejection; counters and percentiles on the ports of readiness and calls.

--- a/internal/hscookie/admit.go
+++ b/internal/hscookie/admit.go
@@ -48,24 +48,25 @@
 // admit places a flow, or holds its opening packet while its service is full.
 func (c *Core) admit(now time.Time, r *heldRoute, h *held) Verdict {
 	it := newItem(now, r, h)
+	v := Verdict{Action: Hold, Code: hscode.FlowOverload}
 	if c.held.Len() == 0 || it.InTime(now) {
-		if v := c.placeItem(now, &it); v.Action != Hold {
+		if v = c.placeItem(now, &it); v.Action != Hold {
 			return v
 		}
 	}
 	if old := c.held.Find(func(v *held) bool { return v.key == h.key }); old != nil {
-		return Verdict{Action: Hold}
+		return v
 	}
 	it.Value.packet.Raw = bytes.Clone(h.packet.Raw)
 	out, dropped := c.held.Push(now, it)
 	if !dropped {
-		return Verdict{Action: Hold}
+		return v
 	}
 	if out.Value.key == h.key {
 		return Verdict{Action: Refuse, Code: hscode.FlowOverload}
 	}
 	c.refused = append(c.refused, out.Value.packet)
-	return Verdict{Action: Hold}
+	return v
 }
 
 func newItem(now time.Time, r *heldRoute, h *held) hsqueue.Item[held] {
@@ -96,18 +97,18 @@
 func (c *Core) placeItem(now time.Time, it *hsqueue.Item[held]) Verdict {
 	most := c.limit(now, it)
 	h := &it.Value
-	id, code := c.place.Choose(now, h.service, most)
+	ch, code := c.place.Choose(now, h.service, most)
 	switch code {
 	case hscode.OK:
 	case hscode.FlowOverload:
-		return Verdict{Action: Hold}
+		return Verdict{Action: Hold, Code: code, Choice: ch}
 	default:
-		return Verdict{Action: Refuse, Code: code}
+		return Verdict{Action: Refuse, Code: code, Choice: ch}
 	}
-	d := c.targets.byID[id]
-	c.add(now, &h.key, h.hash, id, true)
+	d := c.targets.byID[ch.Target]
+	c.add(now, &h.key, h.hash, ch.Target, true)
 	c.Stats.Placed++
-	return Verdict{Action: Forward, To: d.address, Target: id, Cookie: d.cookie, Placed: true}
+	return Verdict{Action: Forward, To: d.address, Target: ch.Target, Cookie: d.cookie, Placed: true, Choice: ch}
 }
 
 // Release returns the next held packet that is decided, and false if none is.
--- a/internal/hscookie/core.go
+++ b/internal/hscookie/core.go
@@ -4,6 +4,8 @@
 	"net/netip"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
+
 	"heatherstack.org/heatherstack/internal/hscode"
 	"heatherstack.org/heatherstack/internal/hsfeed"
 	"heatherstack.org/heatherstack/internal/hsflow"
@@ -30,7 +32,7 @@
 	// Verdict is the decision about one packet.
 	Verdict struct {
 		Action Action
-		// Why the packet was not forwarded; OK if it was.
+		// Why the packet was not forwarded at once; OK if it was.
 		Code hscode.Code
 		// For Forward: where to, whom it is meant for, and the cookie that the
 		// packet has to carry.
@@ -39,18 +41,33 @@
 		Cookie Cookie
 		// True if the packet opened a flow that this host had not seen.
 		Placed bool
+		// What decided about an opening packet; zero for others.
+		Choice hsplace.Choice
 	}
 
 	// Stats counts decisions.
 	Stats struct {
-		Placed    uint64
-		Copies    uint64
+		// Opening packets that were sent to a target chosen here, and copies that
+		// followed an earlier choice.
+		Placed uint64
+		Copies uint64
+		// Packets sent to targets, opening ones included.
 		Forwarded uint64
 		Resets    uint64
-		Adopted   uint64
-		Ejected   uint64
-		Expired   uint64
-		Held      uint64
+		// Flows seen first in their middle.
+		Adopted uint64
+		// Flows forgotten before their caller ended them.
+		Expired uint64
+		// Opening packets held while their service was full.
+		Held uint64
+	}
+
+	// Times are durations of flows, in microseconds.
+	Times struct {
+		// From the opening packet to the caller's next one.
+		Answer *hdrhistogram.Histogram
+		// From the first packet to the caller's end.
+		Flow *hdrhistogram.Histogram
 	}
 
 	// Core decides about callers' packets. It is not safe for concurrent use.
@@ -71,11 +88,19 @@
 		// Entry of flows at which the next search for quiet ones begins.
 		cursor int
 		Stats  Stats
+		Times  Times
+		// What was left out since the caller emptied the list.
+		Ejections []hsplace.Ejection
 		// Packets by result code, without OK.
 		Counts map[hscode.Code]uint64
 	}
 )
 
+// String returns the action in one word.
+func (a Action) String() string { return actions[a] }
+
+var actions = [...]string{Drop: "drop", Forward: "forward", Refuse: "refuse", Hold: "hold"}
+
 // Actions.
 const (
 	// Drop gives no answer.
@@ -88,6 +113,12 @@
 	Hold
 )
 
+const (
+	// longestTime is the longest duration that is told apart from longer ones.
+	longestTime = time.Minute
+	timeDigits  = 2
+)
+
 // New returns a core without routes and targets.
 func New(cfg Config) *Core {
 	return &Core{
@@ -96,9 +127,14 @@
 		flows:  hsflow.NewTable[flow](),
 		held:   hsqueue.New[held](hsqueue.Config{Limit: maxHeld}),
 		Counts: map[hscode.Code]uint64{},
+		Times:  Times{Answer: newHistogram(), Flow: newHistogram()},
 	}
 }
 
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, longestTime.Microseconds(), timeDigits)
+}
+
 // SetConfiguration takes the configuration in force.
 func (c *Core) SetConfiguration(now time.Time, cfg *hsfeed.Configuration) {
 	c.routes.setConfiguration(now, cfg)
@@ -118,6 +154,12 @@
 // Loads appends this host's open flows by target to dst.
 func (c *Core) Loads(dst []hsplace.Load) []hsplace.Load { return c.place.Loads(dst) }
 
+// Version returns the version of the configuration in force.
+func (c *Core) Version() uint64 { return c.routes.version }
+
+// HeldPackets returns the number of opening packets that wait.
+func (c *Core) HeldPackets() int { return c.held.Len() }
+
 // Flows returns the number of flows that are counted.
 func (c *Core) Flows() int { return c.flows.Len() }
 
--- a/internal/hscookie/flow.go
+++ b/internal/hscookie/flow.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
+
 	"heatherstack.org/heatherstack/internal/hsfeed"
 	"heatherstack.org/heatherstack/internal/hsflow"
 )
@@ -93,6 +95,7 @@
 		f.opening = false
 		if f.target == d.id {
 			c.place.Answered(d.id)
+			record(c.Times.Answer, now.Sub(f.since))
 		}
 	}
 	if f.closed {
@@ -106,11 +109,18 @@
 		f.closed = true
 		c.uncount(f)
 		c.learn(now.Sub(f.since))
+		record(c.Times.Flow, now.Sub(f.since))
 		return
 	}
 	c.count(f)
 }
 
+// record takes a duration; one beyond the histogram's range counts as longest.
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	// The value is within the range, so that there is no error.
+	_ = h.RecordValue(min(d.Microseconds(), longestTime.Microseconds()))
+}
+
 // learn takes the duration of a flow that ended.
 func (c *Core) learn(d time.Duration) {
 	c.duration += time.Duration(durationWeight * float64(d-c.duration))
@@ -145,8 +155,8 @@
 func (c *Core) stepOpening(now time.Time) {
 	for o := c.opening.first(); o != nil && now.Sub(o.at) >= answerTime; o = c.opening.first() {
 		f := c.flows.Get(&o.key, o.hash)
-		if f != nil && f.opening && c.place.Unanswered(now, f.target) {
-			c.Stats.Ejected++
+		if f != nil && f.opening {
+			c.Ejections = append(c.Ejections, c.place.Unanswered(now, f.target)...)
 		}
 		c.opening.pop()
 	}
--- a/internal/hsdirect/control.go
+++ b/internal/hsdirect/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/netip"
 	"time"
@@ -35,6 +36,23 @@
 		// Asks for what changed after a revision.
 		since  uint64
 		follow chan<- *hsschema.Update
+		status chan<- ControlStatus
+	}
+
+	// ControlStatus is what the control task tells the metrics page.
+	ControlStatus struct {
+		Revision uint64
+		Version  uint64
+		// Time since the last update.
+		Age     time.Duration
+		Targets int
+		// Members believed alive.
+		Alive  int
+		Reader bool
+		// Calls of the store, and those that failed.
+		Calls    uint64
+		Failures uint64
+		Counts   map[hscode.Code]uint64
 	}
 
 	// controller is the state of the control task.
@@ -42,6 +60,8 @@
 		e      *Entry
 		core   *Core
 		counts map[hscode.Code]uint64
+		// Time of the last update.
+		updated time.Time
 	}
 )
 
@@ -118,11 +138,35 @@
 		c.carryOut(ctx, c.core.Leave(now))
 	case m.seeds != nil:
 		c.carryOut(ctx, c.core.Seed(now, m.seeds))
+	case m.status != nil:
+		m.status <- c.status(now)
 	case m.follow != nil:
 		m.follow <- c.since(m.since)
 	}
 }
 
+func (c *controller) status(now time.Time) ControlStatus {
+	k := c.core.Keeper()
+	st := ControlStatus{
+		Revision: k.Revision(),
+		Age:      now.Sub(c.updated),
+		Targets:  len(k.Targets()),
+		Reader:   c.core.Reader(),
+		Calls:    c.e.calls.Load(),
+		Failures: c.e.failures.Load(),
+		Counts:   maps.Clone(c.counts),
+	}
+	if cfg := k.Configuration(); cfg != nil {
+		st.Version = cfg.Version
+	}
+	for _, p := range c.core.Peers() {
+		if p.Alive {
+			st.Alive++
+		}
+	}
+	return st
+}
+
 func (c *controller) since(revision uint64) *hsschema.Update {
 	u, ok := c.core.Keeper().Since(revision)
 	if !ok {
@@ -159,6 +203,9 @@
 }
 
 func (c *controller) logChanges(out *Output) {
+	if out.Configuration != nil || out.TargetsChanged {
+		c.updated = time.Now()
+	}
 	revision := c.core.Keeper().Revision()
 	if out.Configuration != nil {
 		c.e.log(log.InfoLevel, hscode.OK).
--- a/internal/hsdirect/data.go
+++ b/internal/hsdirect/data.go
@@ -7,6 +7,7 @@
 	"os"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 	"github.com/phuslu/log"
@@ -29,9 +30,16 @@
 
 	// DataStatus is what the data task tells the metrics page.
 	DataStatus struct {
-		Flows  int
-		Stats  hscookie.Stats
-		Counts map[hscode.Code]uint64
+		Flows int
+		// Targets and zones left out so far.
+		Ejected uint64
+		// Opening packets that wait.
+		Waiting int
+		Stats   hscookie.Stats
+		Counts  map[hscode.Code]uint64
+		// Durations in microseconds.
+		Answer *hdrhistogram.Histogram
+		Flow   *hdrhistogram.Histogram
 	}
 
 	// dataTask is the state of the data task.
@@ -43,6 +51,7 @@
 		ticked time.Time
 		told   time.Time
 		counts map[hscode.Code]uint64
+		rec    recorder
 	}
 )
 
@@ -66,6 +75,7 @@
 			Start:    e.started,
 		}),
 		counts: map[hscode.Code]uint64{},
+		rec:    recorder{e: e},
 	}
 	d.loop(ctx)
 	return nil
@@ -108,6 +118,7 @@
 	d.ticked = now
 	d.core.Tick(now)
 	d.release(now)
+	d.rec.tick(now, d.core)
 	if now.Sub(d.told) >= TickInterval {
 		d.told = now
 		d.tellLoads()
@@ -161,18 +172,19 @@
 	d.e.traffic.Store(int64(now.Sub(d.e.started)))
 	d.pkt.Raw = data
 	v := d.core.Packet(now, &d.pkt)
-	d.carryOut(&d.pkt, &v)
+	d.carryOut(now, &d.pkt, &v)
 	d.release(now)
 }
 
 // release carries out what was decided about held packets.
 func (d *dataTask) release(now time.Time) {
 	for p, v, ok := d.core.Release(now); ok; p, v, ok = d.core.Release(now) {
-		d.carryOut(&p, &v)
+		d.carryOut(now, &p, &v)
 	}
 }
 
-func (d *dataTask) carryOut(p *hscookie.Packet, v *hscookie.Verdict) {
+func (d *dataTask) carryOut(now time.Time, p *hscookie.Packet, v *hscookie.Verdict) {
+	d.rec.flow(now, d.core, p, v)
 	switch v.Action {
 	case hscookie.Forward:
 		d.out = d.e.cfg.Codec.AppendToTarget(d.out[:0], p.Raw, v.Target, v.Cookie)
@@ -192,7 +204,15 @@
 }
 
 func (d *dataTask) status() DataStatus {
-	st := DataStatus{Flows: d.core.Flows(), Stats: d.core.Stats, Counts: map[hscode.Code]uint64{}}
+	st := DataStatus{
+		Flows:   d.core.Flows(),
+		Waiting: d.core.HeldPackets(),
+		Ejected: d.rec.ejected,
+		Stats:   d.core.Stats,
+		Counts:  map[hscode.Code]uint64{},
+		Answer:  hdrhistogram.Import(d.core.Times.Answer.Export()),
+		Flow:    hdrhistogram.Import(d.core.Times.Flow.Export()),
+	}
 	for code, n := range d.counts {
 		st.Counts[code] += n
 	}
--- a/internal/hsdirect/entry.go
+++ b/internal/hsdirect/entry.go
@@ -109,6 +109,9 @@
 		// Time of the last caller's packet, in nanoseconds since started.
 		traffic atomic.Int64
 		started time.Time
+		// Calls of the store, and those that failed.
+		calls    atomic.Uint64
+		failures atomic.Uint64
 		// Time limit of a planned stop, in nanoseconds.
 		stopLimit atomic.Int64
 	}
@@ -261,6 +264,7 @@
 func (e *Entry) runReady(ctx context.Context) error {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+e.cfg.ReadyPath, e.serveReady)
+	mux.HandleFunc("GET "+metricsPath, e.serveMetrics)
 	return hshttp.Serve(ctx, e.sockets.ready, mux)
 }
 
--- a/internal/hsdirect/peer.go
+++ b/internal/hsdirect/peer.go
@@ -89,6 +89,7 @@
 
 func (e *Entry) runCalls(ctx context.Context) error {
 	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+metricsPath, e.serveMetrics)
 	mux.Handle(hsschemaconnect.NewFeedHandler(&callServer{e: e}))
 	return hshttp.Serve(ctx, e.sockets.calls, mux)
 }
--- a/internal/hsdirect/reader.go
+++ b/internal/hsdirect/reader.go
@@ -78,6 +78,7 @@
 
 // step makes one call and passes on what it brought.
 func (r *storeReader) step(ctx context.Context) {
+	r.e.calls.Add(1)
 	u, err := r.read(ctx)
 	if ctx.Err() != nil {
 		return
@@ -102,6 +103,7 @@
 }
 
 func (r *storeReader) failed(ctx context.Context, err error) {
+	r.e.failures.Add(1)
 	code := codeOf(err, hscode.PlatformRead)
 	r.e.log(log.WarnLevel, code).Uint64("after", r.after).Err(errors.Cause(err)).Msg("store not read")
 	if code == hscode.PlatformHistory {
--- a/internal/hsplace/evidence.go
+++ b/internal/hsplace/evidence.go
@@ -20,6 +20,14 @@
 		trial bool
 	}
 
+	// Ejection says that a target, or a whole zone, is left out for a time.
+	Ejection struct {
+		// 0 if it is the zone.
+		Target hsfeed.TargetID
+		Zone   string
+		For    time.Duration
+	}
+
 	// zone is what opening packets tell about another availability zone: if
 	// several of its targets in a row do not answer, the zone cannot be reached.
 	zone struct {
@@ -51,20 +59,26 @@
 }
 
 // Unanswered notes that a target left an opening packet without answer. It
-// reports whether the target, or its whole zone, is ejected for it. This host's
-// own zone is never ejected whole: what it cannot reach there is its own fault.
-func (p *Placer) Unanswered(now time.Time, id hsfeed.TargetID) bool {
+// returns the ejections that follow. This host's own zone is never ejected
+// whole: what it cannot reach there is its own fault.
+func (p *Placer) Unanswered(now time.Time, id hsfeed.TargetID) []Ejection {
 	t := p.targets[id]
 	if t == nil {
-		return false
+		return nil
+	}
+	var out []Ejection
+	if t.unansweredAt(now) {
+		out = append(out, Ejection{Target: id, Zone: t.entry.Zone, For: t.ejection})
 	}
-	ejected := t.unansweredAt(now)
 	z := t.zone
 	if t.near || z.last == id {
-		return ejected
+		return out
 	}
 	z.last = id
-	return z.unansweredAt(now) || ejected
+	if z.unansweredAt(now) {
+		out = append(out, Ejection{Zone: t.entry.Zone, For: z.ejection})
+	}
+	return out
 }
 
 // unansweredAt notes an opening packet without answer and reports whether that
--- a/internal/hsplace/place.go
+++ b/internal/hsplace/place.go
@@ -31,6 +31,18 @@
 		Flows  int
 	}
 
+	// Choice is the target of a new flow and what decided for it.
+	Choice struct {
+		Target hsfeed.TargetID
+		// Open flows at the target as this host counts them and as others
+		// reported them.
+		Own    int
+		Others int
+		// Targets that take new flows, and how many of them are ejected.
+		Pool    int
+		Ejected int
+	}
+
 	// Placer holds what one entry host knows of the targets' load. It is not
 	// safe for concurrent use.
 	Placer struct {
@@ -64,9 +76,10 @@
 
 const (
 	// farPenalty is added to the utilization of a target in another zone, so
-	// that one there is chosen only if the near ones are fuller by more than
-	// a slot of three.
-	farPenalty = 0.4
+	// that near ones are filled up to their last slot, and far ones are used
+	// before near ones queue for long. Far targets cost bytes between zones and
+	// are lost when the zones are cut off from each other.
+	farPenalty = 0.8
 	// coldSlots is the part of its slots that a target counts for while it is
 	// slow after its start.
 	coldSlots = 0.6
@@ -164,31 +177,36 @@
 
 // Choose returns the target for a new flow of a service, or FlowOverload if even
 // the best one would be utilized above most.
-func (p *Placer) Choose(now time.Time, service string, most float64) (hsfeed.TargetID, hscode.Code) {
+func (p *Placer) Choose(now time.Time, service string, most float64) (Choice, hscode.Code) {
 	pool := p.pools[service]
 	if len(pool) == 0 {
-		return 0, hscode.FlowNoTarget
-	}
-	best := p.cheapest(now, pool, false)
-	if best == nil {
-		best = p.cheapest(now, pool, true)
+		return Choice{}, hscode.FlowNoTarget
 	}
+	best, ejected := p.cheapest(now, pool)
+	ch := Choice{Target: best.entry.ID, Own: best.own, Others: best.others, Pool: len(pool), Ejected: ejected}
 	if best.load(now) > most {
-		return 0, hscode.FlowOverload
+		return ch, hscode.FlowOverload
 	}
 	best.chosen(now)
 	best.zone.chosen(now)
-	return best.entry.ID, hscode.OK
+	return ch, hscode.OK
 }
 
-// cheapest returns the target of least cost, at random among equals, or nil if
-// all are ejected.
-func (p *Placer) cheapest(now time.Time, pool []*target, ejected bool) *target {
+// cheapest returns the target of least cost, at random among equals, and the
+// number of those left out because they are ejected. If all are, none is left
+// out: the evidence may be this host's own trouble.
+func (p *Placer) cheapest(now time.Time, pool []*target) (*target, int) {
+	ejected := 0
+	for _, t := range pool {
+		if !t.takes(now) {
+			ejected++
+		}
+	}
 	var best *target
 	least := 0.0
 	equal := 0
 	for _, t := range pool {
-		if !ejected && (!t.usable(now) || !t.zone.usable(now)) {
+		if ejected < len(pool) && !t.takes(now) {
 			continue
 		}
 		c := t.cost(now)
@@ -202,9 +220,12 @@
 			}
 		}
 	}
-	return best
+	return best, ejected
 }
 
+// takes reports whether neither the target nor its zone is ejected.
+func (t *target) takes(now time.Time) bool { return t.usable(now) && t.zone.usable(now) }
+
 // cost is the utilization that the target would have with one more flow, and a
 // penalty for its distance.
 func (t *target) cost(now time.Time) float64 {
