Tell the zone which targets do not answer

Change: the targets that a host leaves out are told to its zone's members at once, which leave them out as long as that host does.

Ruled out: telling other zones, which may reach the target.

--- a/internal/hscookie/core.go
+++ b/internal/hscookie/core.go
@@ -151,6 +151,14 @@
 	c.place.Report(now, host, loads)
 }
 
+// Avoid takes the targets that another host of this zone leaves out.
+func (c *Core) Avoid(now time.Time, ids []hsfeed.TargetID) { c.place.Avoid(now, ids) }
+
+// Ejected appends the targets that this host leaves out to dst.
+func (c *Core) Ejected(now time.Time, dst []hsfeed.TargetID) []hsfeed.TargetID {
+	return c.place.Ejected(now, dst)
+}
+
 // Loads appends this host's open flows by target to dst.
 func (c *Core) Loads(dst []hsplace.Load) []hsplace.Load { return c.place.Loads(dst) }
 
--- a/internal/hsdirect/control.go
+++ b/internal/hsdirect/control.go
@@ -13,7 +13,6 @@
 
 	"heatherstack.org/heatherstack/internal/hscode"
 	"heatherstack.org/heatherstack/internal/hsfeed"
-	"heatherstack.org/heatherstack/internal/hsplace"
 	"heatherstack.org/heatherstack/internal/hsschema"
 )
 
@@ -29,8 +28,7 @@
 		// Whether the store answers, if contactSet.
 		answers    bool
 		contactSet bool
-		loads      []hsplace.Load
-		loadsSet   bool
+		loads      *Loads
 		leave      bool
 		seeds      []netip.Addr
 		// Asks for what changed after a revision.
@@ -132,7 +130,7 @@
 		c.carryOut(ctx, c.core.FromStore(now, m.update))
 	case m.contactSet:
 		c.carryOut(ctx, c.core.Contact(now, m.answers))
-	case m.loadsSet:
+	case m.loads != nil:
 		c.carryOut(ctx, c.core.Loads(now, m.loads))
 	case m.leave:
 		c.carryOut(ctx, c.core.Leave(now))
--- a/internal/hsdirect/core.go
+++ b/internal/hsdirect/core.go
@@ -41,10 +41,21 @@
 		Since uint64
 	}
 
-	// Report is what another host has open.
+	// Report is what another host has open, and the targets that it leaves out
+	// if it is of the same zone.
 	Report struct {
 		Host  string
 		Loads []hsplace.Load
+		Avoid []hsfeed.TargetID
+	}
+
+	// Loads is what this host has open and leaves out.
+	Loads struct {
+		Flows   []hsplace.Load
+		Ejected []hsfeed.TargetID
+		// True if the targets left out changed, so that this zone's members are
+		// told at once.
+		News bool
 	}
 
 	// Output is what one step wants done.
@@ -119,10 +130,12 @@
 	// larger deployment they take turns, so that reports cost a host the same.
 	nearMost = 3
 	farMost  = 4
-	// loadsMost bounds the targets in a report.
-	loadsMost = 12
+	// loadsMost and ejectedMost bound the targets in a report.
+	loadsMost   = 12
+	ejectedMost = 32
 	// pushMost bounds the members outside the zone that a reader sends updates
-	// to; their zones have readers of their own.
+	// to, whose zones have readers of their own, and the members of the zone
+	// that are told at once of a target that does not answer.
 	pushMost = 16
 )
 
@@ -205,6 +218,9 @@
 		}
 	case hsschema.Heartbeat_KIND_LOADS:
 		c.out.Report = &Report{Host: hb.GetFrom(), Loads: loadsOf(hb)}
+		if hb.GetZone() == c.cfg.Zone {
+			c.out.Report.Avoid = ejectedOf(hb)
+		}
 	}
 	c.apply(now, out)
 	return c.take()
@@ -234,7 +250,7 @@
 }
 
 // Loads takes this host's open flows and tells members of them.
-func (c *Core) Loads(now time.Time, loads []hsplace.Load) Output {
+func (c *Core) Loads(now time.Time, loads *Loads) Output {
 	var near, far []string
 	for _, p := range c.roster.Peers() {
 		switch {
@@ -246,15 +262,22 @@
 		}
 	}
 	due := c.near.next(now, nearInterval, near, nearMost)
+	if loads.News {
+		due = near[:min(len(near), pushMost)]
+	}
 	due = append(due, c.far.next(now, farInterval, far, farMost)...)
 	if len(due) == 0 {
 		return c.take()
 	}
 	hb := c.roster.Message(hsschema.Heartbeat_KIND_LOADS)
-	slices.SortFunc(loads, func(a, b hsplace.Load) int { return cmp.Compare(b.Flows, a.Flows) })
-	for _, l := range loads[:min(len(loads), loadsMost)] {
+	flows := loads.Flows
+	slices.SortFunc(flows, func(a, b hsplace.Load) int { return cmp.Compare(b.Flows, a.Flows) })
+	for _, l := range flows[:min(len(flows), loadsMost)] {
 		hb.Loads = append(hb.Loads, &hsschema.Load{Target: uint64(l.Target), Flows: uint32(l.Flows)})
 	}
+	for _, id := range loads.Ejected[:min(len(loads.Ejected), ejectedMost)] {
+		hb.Ejected = append(hb.Ejected, uint64(id))
+	}
 	for _, name := range due {
 		c.send(name, hb)
 	}
@@ -395,3 +418,11 @@
 	slices.SortFunc(out, func(a, b hsplace.Load) int { return cmp.Compare(a.Target, b.Target) })
 	return out
 }
+
+func ejectedOf(hb *hsschema.Heartbeat) []hsfeed.TargetID {
+	out := make([]hsfeed.TargetID, 0, len(hb.GetEjected()))
+	for _, id := range hb.GetEjected() {
+		out = append(out, hsfeed.TargetID(id))
+	}
+	return out
+}
--- a/internal/hsdirect/core_test.go
+++ b/internal/hsdirect/core_test.go
@@ -37,6 +37,7 @@
 		served  bool
 		noticed bool
 		reports map[string][]hsplace.Load
+		avoid   []hsfeed.TargetID
 	}
 )
 
@@ -118,6 +119,7 @@
 func (w *world) carryOut(h *worldHost, out Output) {
 	if out.Report != nil {
 		h.reports[out.Report.Host] = out.Report.Loads
+		h.avoid = append(h.avoid, out.Report.Avoid...)
 	}
 	for _, s := range out.Sends {
 		to := w.host(s.To)
@@ -171,7 +173,7 @@
 func (w *world) loadsTick() {
 	for _, h := range w.hosts {
 		if h.up {
-			w.carryOut(h, h.core.Loads(w.now, []hsplace.Load{{Target: 1, Flows: 2}}))
+			w.carryOut(h, h.core.Loads(w.now, &Loads{Flows: []hsplace.Load{{Target: 1, Flows: 2}}}))
 		}
 	}
 }
@@ -322,7 +324,7 @@
 		for i := range loads {
 			loads[i] = hsplace.Load{Target: hsfeed.TargetID(1<<40 + i), Flows: 2}
 		}
-		for _, out := range []Output{h.core.Tick(w.now), h.core.Loads(w.now, loads)} {
+		for _, out := range []Output{h.core.Tick(w.now), h.core.Loads(w.now, &Loads{Flows: loads})} {
 			for _, s := range out.Sends {
 				sent += proto.Size(s.Message) + 28
 			}
@@ -331,3 +333,16 @@
 	}
 	assert.Assert(t, sent/seconds < 3000, "%d bytes a second", sent/seconds)
 }
+
+// TestEjectedTold checks that a target which a host leaves out is told to its
+// zone at once, and to no other, which may reach the target.
+func TestEjectedTold(t *testing.T) {
+	w := newWorld(t, "a", "a", "a", "b")
+	w.runWithLoads(time.Second)
+	h := w.hosts[0]
+	w.carryOut(h, h.core.Loads(w.now, &Loads{Ejected: []hsfeed.TargetID{7}, News: true}))
+	for _, other := range w.hosts[1:] {
+		told := slices.Contains(other.avoid, 7)
+		assert.Equal(t, told, other.zone == "a", other.addr)
+	}
+}
--- a/internal/hsdirect/data.go
+++ b/internal/hsdirect/data.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -50,8 +51,10 @@
 		out    []byte
 		ticked time.Time
 		told   time.Time
-		counts map[hscode.Code]uint64
-		rec    recorder
+		// Targets left out, as last told; sorted.
+		ejected []hsfeed.TargetID
+		counts  map[hscode.Code]uint64
+		rec     recorder
 	}
 )
 
@@ -119,17 +122,21 @@
 	d.core.Tick(now)
 	d.release(now)
 	d.rec.tick(now, d.core)
-	if now.Sub(d.told) >= TickInterval {
+	ejected := d.core.Ejected(now, nil)
+	news := !slices.Equal(ejected, d.ejected)
+	if now.Sub(d.told) >= TickInterval || news {
 		d.told = now
-		d.tellLoads()
+		d.ejected = ejected
+		d.tellLoads(news)
 	}
 }
 
-// tellLoads passes the open flows on. A full queue means that the next report
-// is as good.
-func (d *dataTask) tellLoads() {
+// tellLoads passes the open flows and the targets left out on. A full queue
+// means that the next report is as good.
+func (d *dataTask) tellLoads(news bool) {
+	report := &Loads{Flows: d.core.Loads(make([]hsplace.Load, 0, 32)), Ejected: d.ejected, News: news}
 	select {
-	case d.e.toControl <- controlMessage{loads: d.core.Loads(make([]hsplace.Load, 0, 32)), loadsSet: true}:
+	case d.e.toControl <- controlMessage{loads: report}:
 	default:
 	}
 }
@@ -154,6 +161,7 @@
 	}
 	if m.report != nil {
 		d.core.Report(now, m.report.Host, m.report.Loads)
+		d.core.Avoid(now, m.report.Avoid)
 	}
 	if m.status != nil {
 		m.status <- d.status()
--- a/internal/hsplace/evidence.go
+++ b/internal/hsplace/evidence.go
@@ -54,6 +54,7 @@
 func (p *Placer) Answered(id hsfeed.TargetID) {
 	if t := p.targets[id]; t != nil {
 		t.evidence = evidence{}
+		t.avoid = time.Time{}
 		*t.zone = zone{}
 	}
 }
--- a/internal/hsplace/place.go
+++ b/internal/hsplace/place.go
@@ -10,6 +10,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"heatherstack.org/heatherstack/internal/hscode"
@@ -65,6 +66,9 @@
 		own int
 		// Open flows that other hosts reported.
 		others int
+		// Time until which the target is left out since a host of this zone
+		// leaves it out.
+		avoid time.Time
 		evidence
 	}
 
@@ -86,6 +90,9 @@
 	// reportLife is the time for which another host's report counts: the time in
 	// which a member of a large zone gets its turn twice.
 	reportLife = 2500 * time.Millisecond
+	// avoidLife is the time for which another host's word that a target does
+	// not answer holds: two reports to a member of a small zone.
+	avoidLife = 450 * time.Millisecond
 )
 
 // New returns a placer without targets.
@@ -161,6 +168,28 @@
 	p.countOthers()
 }
 
+// Avoid takes the targets that another host of this zone leaves out. They are
+// left out here as long as it says so; that host tries them again, so that one
+// flow does and not one of each host.
+func (p *Placer) Avoid(now time.Time, ids []hsfeed.TargetID) {
+	for _, id := range ids {
+		if t := p.targets[id]; t != nil {
+			t.avoid = now.Add(avoidLife)
+		}
+	}
+}
+
+// Ejected appends the targets that this host leaves out on its own evidence.
+func (p *Placer) Ejected(now time.Time, dst []hsfeed.TargetID) []hsfeed.TargetID {
+	for id, t := range p.targets {
+		if !t.usable(now) {
+			dst = append(dst, id)
+		}
+	}
+	slices.Sort(dst)
+	return dst
+}
+
 // Tick forgets reports that are too old to count.
 func (p *Placer) Tick(now time.Time) {
 	expired := false
@@ -223,8 +252,10 @@
 	return best, ejected
 }
 
-// takes reports whether neither the target nor its zone is ejected.
-func (t *target) takes(now time.Time) bool { return t.usable(now) && t.zone.usable(now) }
+// takes reports whether neither the target nor its zone is left out.
+func (t *target) takes(now time.Time) bool {
+	return t.usable(now) && t.zone.usable(now) && !now.Before(t.avoid)
+}
 
 // cost is the utilization that the target would have with one more flow, and a
 // penalty for its distance.
--- a/internal/hsplace/place_test.go
+++ b/internal/hsplace/place_test.go
@@ -161,3 +161,19 @@
 	_, code = p.Choose(epoch, "desk", 1.34)
 	assert.Equal(t, code, hscode.OK)
 }
+
+// TestAvoid checks that a target which another host of the zone leaves out is
+// left out here for as long as that host says so, without a flow that tries it.
+func TestAvoid(t *testing.T) {
+	p, other := newPlacer(entry(1, "a"), entry(2, "a")), newPlacer(entry(1, "a"), entry(2, "a"))
+	other.Unanswered(epoch, 1)
+	other.Unanswered(epoch, 1)
+	told := other.Ejected(epoch, nil)
+	assert.DeepEqual(t, told, []hsfeed.TargetID{1})
+	p.Avoid(epoch, told)
+	for range 5 {
+		assert.Equal(t, choose(t, p, epoch), hsfeed.TargetID(2))
+	}
+	assert.Equal(t, len(p.Ejected(epoch, nil)), 0)
+	assert.Equal(t, choose(t, p, epoch.Add(avoidLife)), hsfeed.TargetID(1))
+}
