--- /dev/null
+++ b/internal/hsdirect/entry_test.go
@@ -0,0 +1,230 @@
+package hsdirect
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+
+	"heatherstack.org/heatherstack/internal/hscode"
+	"heatherstack.org/heatherstack/internal/hscookie"
+	"heatherstack.org/heatherstack/internal/hsfeed"
+)
+
+type (
+	// fakeStore publishes one state that never changes. A closed gate makes it
+	// refuse every call.
+	fakeStore struct {
+		state hsfeed.Update
+		open  chan struct{}
+	}
+
+	// jsonCodec writes packets as JSON.
+	jsonCodec struct{}
+
+	// delivered is a packet as a target gets it.
+	delivered struct {
+		Target hsfeed.TargetID
+		Cookie hscookie.Cookie
+		Data   json.RawMessage
+	}
+)
+
+// testTimeout is far above what the test waits for on a busy machine.
+const testTimeout = 30 * time.Second
+
+// List implements Store.
+func (s *fakeStore) List(ctx context.Context) (hsfeed.Update, error) {
+	select {
+	case <-s.open:
+		return s.state, nil
+	case <-ctx.Done():
+		return hsfeed.Update{}, hscode.New(hscode.PlatformRead, "test", "%v", ctx.Err())
+	default:
+		return hsfeed.Update{}, hscode.New(hscode.PlatformStatus, "test", "refused")
+	}
+}
+
+// Watch implements Store.
+func (s *fakeStore) Watch(ctx context.Context, after uint64, _ time.Duration) (hsfeed.Update, error) {
+	<-ctx.Done()
+	return hsfeed.Update{Since: after, Revision: after}, nil
+}
+
+// Decode implements Codec.
+func (jsonCodec) Decode(data []byte, p *hscookie.Packet) hscode.Code {
+	if json.Unmarshal(data, p) != nil {
+		return hscode.PacketShort
+	}
+	return hscode.OK
+}
+
+// AppendToTarget implements Codec.
+func (jsonCodec) AppendToTarget(dst, data []byte, id hsfeed.TargetID, c hscookie.Cookie) []byte {
+	out, _ := json.Marshal(delivered{Target: id, Cookie: c, Data: data})
+	return append(dst, out...)
+}
+
+// AppendReset implements Codec.
+func (jsonCodec) AppendReset(dst []byte, _ *hscookie.Packet) []byte { return append(dst, "reset"...) }
+
+// Caller implements Codec.
+func (jsonCodec) Caller(p *hscookie.Packet) netip.AddrPort { return p.From }
+
+// listen opens a UDP socket on loopback.
+func listen(t *testing.T) (*net.UDPConn, netip.AddrPort) {
+	t.Helper()
+	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	assert.NilError(t, conn.SetDeadline(time.Now().Add(testTimeout)))
+	return conn, netip.MustParseAddrPort(conn.LocalAddr().String())
+}
+
+// freePort returns a port that was free a moment ago for UDP and TCP.
+func freePort(t *testing.T) netip.AddrPort {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = l.Close() }()
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+func receivePacket(t *testing.T, conn *net.UDPConn) []byte {
+	t.Helper()
+	buf := make([]byte, 2048)
+	n, err := conn.Read(buf)
+	assert.NilError(t, err)
+	return buf[:n]
+}
+
+func get(t *testing.T, at netip.AddrPort, path string) (int, string) {
+	t.Helper()
+	res, err := http.Get("http://" + at.String() + path)
+	assert.NilError(t, err)
+	defer func() { _ = res.Body.Close() }()
+	body, err := io.ReadAll(res.Body)
+	assert.NilError(t, err)
+	return res.StatusCode, string(body)
+}
+
+// awaitStatus returns once readiness answers with a status.
+func awaitStatus(t *testing.T, at netip.AddrPort, want int) {
+	t.Helper()
+	for end := time.Now().Add(testTimeout); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if status, _ := get(t, at, "/ready"); status == want {
+			return
+		}
+	}
+	t.Fatalf("readiness does not answer %d", want)
+}
+
+// TestEntry runs an entry host on loopback sockets: it is not ready before it
+// can place flows; it forwards the opening packet and a later one to one target
+// and resets what has no route; it serves its metrics; and its planned stop ends
+// readiness, goes on forwarding, and returns.
+func TestEntry(t *testing.T) {
+	targetConn, targetAt := listen(t)
+	callerConn, callerAt := listen(t)
+	at := netip.MustParseAddrPort("198.18.0.1:443")
+	store := &fakeStore{open: make(chan struct{}), state: hsfeed.Update{Revision: 5, Events: []hsfeed.Event{
+		{Revision: 3, Configuration: &hsfeed.Configuration{Version: 1, Routes: []hsfeed.Route{{
+			At: at, Shares: []hsfeed.Share{{Service: "desk", Weight: 1}}, Timeout: time.Second, Aim: time.Second,
+		}}}},
+		{Revision: 5, Target: &hsfeed.Target{ID: 7, Service: "desk", Address: targetAt, Zone: "a", Slots: 3}},
+	}}}
+	ready := freePort(t)
+	var logs syncBuffer
+	logs.lines = make(chan string, 1000)
+	e, err := New(Config{
+		Settings: Settings{
+			Name: "h1", Zone: "a", Data: freePort(t), Ready: ready, Peer: freePort(t).Port(),
+			Stop: testTimeout, Life: time.Minute,
+		},
+		Store: store, Codec: jsonCodec{}, ReadyPath: "/ready", Boot: 1,
+		Logger: &log.Logger{Writer: &log.IOWriter{Writer: &logs}},
+	})
+	assert.NilError(t, err)
+	ctx, stop := context.WithCancel(t.Context())
+	var g errgroup.Group
+	g.Go(func() error { return e.Run(ctx) })
+	status, _ := get(t, ready, "/ready")
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	close(store.open)
+	awaitStatus(t, ready, http.StatusOK)
+
+	send := func(p hscookie.Packet) {
+		data, err := json.Marshal(p)
+		assert.NilError(t, err)
+		_, err = callerConn.WriteToUDPAddrPort(data, e.cfg.Settings.Data)
+		assert.NilError(t, err)
+	}
+	send(hscookie.Packet{From: callerAt, To: at, Flags: hscookie.Open})
+	var first, second delivered
+	assert.NilError(t, json.Unmarshal(receivePacket(t, targetConn), &first))
+	assert.Equal(t, first.Target, hsfeed.TargetID(7))
+	send(hscookie.Packet{From: callerAt, To: at, Flags: hscookie.Ack, Cookie: first.Cookie})
+	assert.NilError(t, json.Unmarshal(receivePacket(t, targetConn), &second))
+	assert.Equal(t, second.Cookie, first.Cookie)
+	send(hscookie.Packet{From: callerAt, To: netip.MustParseAddrPort("198.18.0.9:1"), Flags: hscookie.Open})
+	assert.Equal(t, string(receivePacket(t, callerConn)), "reset")
+
+	_, page := get(t, ready, metricsPath)
+	for _, want := range []string{"heatherstack_flow_placed 1\n", "heatherstack_packet_forwarded 2\n", "heatherstack_code_4001 1\n", "heatherstack_state_revision 5\n"} {
+		assert.Assert(t, strings.Contains(page, want), "%q is missing in\n%s", want, page)
+	}
+	checkMetricsPage(t, page)
+	stop()
+	awaitStatus(t, ready, http.StatusServiceUnavailable)
+	send(hscookie.Packet{From: callerAt, To: at, Flags: hscookie.Ack, Cookie: first.Cookie})
+	receivePacket(t, targetConn)
+	assert.NilError(t, g.Wait())
+	close(logs.lines)
+	var messages []string
+	for line := range logs.lines {
+		var l struct{ Message string }
+		assert.NilError(t, json.Unmarshal([]byte(line), &l))
+		messages = append(messages, l.Message)
+	}
+	for _, want := range []string{"store not read", "configuration in force", "targets in force", "ready", "flow decided", "planned stop begins", "planned stop ends"} {
+		assert.Assert(t, slices.Contains(messages, want), "no line %q in %v", want, messages)
+	}
+}
+
+// syncBuffer takes log lines from several tasks.
+type syncBuffer struct {
+	lines chan string
+}
+
+// Write implements io.Writer.
+func (b *syncBuffer) Write(p []byte) (int, error) {
+	b.lines <- string(p)
+	return len(p), nil
+}
+
+// checkMetricsPage checks that docs/METRICS.md names every metric served.
+func checkMetricsPage(t *testing.T, page string) {
+	t.Helper()
+	doc, err := os.ReadFile("../../docs/METRICS.md")
+	assert.NilError(t, err)
+	for _, m := range regexp.MustCompile(`(?m)^heatherstack_([a-z_]+)`).FindAllStringSubmatch(page, -1) {
+		name := m[1]
+		if name == "code_" {
+			name = "code_N"
+		}
+		assert.Assert(t, strings.Contains(string(doc), fmt.Sprintf("| %s |", name)), "docs/METRICS.md does not name %s", name)
+	}
+}
--- a/style_test.go
+++ b/style_test.go
@@ -6,6 +6,7 @@
 	"go/parser"
 	"go/token"
 	"io/fs"
+	"os"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -13,6 +14,44 @@
 	"gotest.tools/v3/assert"
 )
 
+// platformNames are names of the deployment that only the folder platform may
+// know, besides files that describe a deployment.
+var platformNames = []string{
+	"HEATHERSTACK_CONFIG", "datagramAddr", "readyAddr", "listenAddrs", "internalPorts",
+	"kv-range", "kv-watch", "kv-key", "storeRevision", "staleRead", "tombstone",
+	"op/config", "servers/", "coldRemainingMs", "targetLatencyMs", "idleTimeoutMs",
+	"maxConnections", "healthPath", "timeoutMs", "non_idempotent", "/-/",
+}
+
+// TestPlatformNames checks that the names of the deployment stand in one folder,
+// which is a small part of the code.
+func TestPlatformNames(t *testing.T) {
+	adapter, all := 0, 0
+	err := filepath.WalkDir(".", func(path string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		data, err := os.ReadFile(path)
+		if err != nil || strings.Contains(path, "hsschema") {
+			return err
+		}
+		lines := strings.Count(string(data), "\n")
+		all += lines
+		if strings.HasPrefix(path, "platform"+string(filepath.Separator)) {
+			adapter += lines
+			return nil
+		}
+		for _, name := range platformNames {
+			if strings.Contains(string(data), name) {
+				t.Errorf("%s: %q belongs into platform/", path, name)
+			}
+		}
+		return nil
+	})
+	assert.NilError(t, err)
+	assert.Assert(t, adapter > 0 && adapter*10 < all, "%d of %d lines", adapter, all)
+}
+
 // TestNoBareGoroutine checks that goroutines are started through a group.
 func TestNoBareGoroutine(t *testing.T) {
 	files := token.NewFileSet()
