Refuse at once what more than the targets can serve would wait for in vain

Change: no more packets wait than the host places before callers give up, at the rate that it measures; the one that is worth least is reset at once.

--- a/internal/hscookie/admit.go
+++ b/internal/hscookie/admit.go
@@ -19,8 +19,8 @@
 }
 
 const (
-	// maxHeld bounds the packets held: more than a host's share of what a full
-	// fleet serves in the time until callers give up.
+	// maxHeld bounds the packets held, whatever the rate at which they are
+	// released, and so their memory to about 100 KB.
 	maxHeld = 512
 	// fullLoad is the utilization of a target up to which a flow is placed that
 	// can still meet its objective; what is above 1 waits at the target, so that
@@ -35,6 +35,11 @@
 	// workShare is the part of a latency objective that the request itself may
 	// take, and that has to be left when it is placed.
 	workShare = 0.4
+	// rateInterval is the time over which the rate of placed flows is measured,
+	// and rateWeight the weight of the newest measurement: two follow a burst
+	// within the time that a caller waits.
+	rateInterval = 250 * time.Millisecond
+	rateWeight   = 0.5
 	// attemptTime is the time after which a caller ends an attempt that was not
 	// answered, and attemptMargin what the way to the target takes of it.
 	attemptTime   = 1400 * time.Millisecond
@@ -58,14 +63,7 @@
 		return v
 	}
 	it.Value.packet.Raw = bytes.Clone(h.packet.Raw)
-	out, dropped := c.held.Push(now, it)
-	if !dropped {
-		return v
-	}
-	if out.Value.key == h.key {
-		return Verdict{Action: Refuse, Code: hscode.FlowOverload}
-	}
-	c.refused = append(c.refused, out.Value.packet)
+	c.held.Push(it)
 	return v
 }
 
@@ -113,10 +111,8 @@
 
 // Release returns the next held packet that is decided, and false if none is.
 func (c *Core) Release(now time.Time) (Packet, Verdict, bool) {
-	if n := len(c.refused) - 1; n >= 0 {
-		p := c.refused[n]
-		c.refused = c.refused[:n]
-		return p, c.note(Verdict{Action: Refuse, Code: hscode.FlowOverload}), true
+	if it, ok := c.held.Excess(now); ok {
+		return it.Value.packet, c.note(Verdict{Action: Refuse, Code: hscode.FlowOverload}), true
 	}
 	full := map[string]bool{}
 	for {
@@ -135,6 +131,20 @@
 	}
 }
 
+// learnRate measures how many flows this host places in a second, which while
+// packets wait is what its share of the targets can serve.
+func (c *Core) learnRate(now time.Time) {
+	span := now.Sub(c.rated)
+	if span < rateInterval {
+		return
+	}
+	placed := float64(c.Stats.Placed-c.placed) / span.Seconds()
+	c.rate += rateWeight * (placed - c.rate)
+	c.rated = now
+	c.placed = c.Stats.Placed
+	c.held.SetRate(c.rate, attemptTime-attemptMargin)
+}
+
 // expire forgets held packets whose callers have given up the attempt.
 func (c *Core) expire(now time.Time) {
 	for _, ok := c.held.Expire(now); ok; _, ok = c.held.Expire(now) {
--- a/internal/hscookie/core.go
+++ b/internal/hscookie/core.go
@@ -78,8 +78,10 @@
 		targets targets
 		flows   *hsflow.Table[flow]
 		held    *hsqueue.Queue[held]
-		// Packets that the queue had no room for, to be refused.
-		refused []Packet
+		// Flows placed in a second, and when and at which count it was measured.
+		rate   float64
+		rated  time.Time
+		placed uint64
 		// Flows whose opening packet has no answer yet, oldest first.
 		opening queue
 		swept   time.Time
@@ -255,6 +257,7 @@
 	c.stepOpening(now)
 	c.place.Tick(now)
 	c.expire(now)
+	c.learnRate(now)
 	if now.Sub(c.swept) >= sweepInterval {
 		c.swept = now
 		c.sweep(now)
--- a/internal/hsqueue/queue.go
+++ b/internal/hsqueue/queue.go
@@ -35,22 +35,37 @@
 
 	// Queue holds items. It is not safe for concurrent use.
 	Queue[T any] struct {
-		cfg   Config
+		cfg Config
+		// At most cfg.Limit.
+		limit int
 		items []Item[T]
 	}
 )
 
+// minLimit is the limit at the lowest rate, so that a few items may wait before
+// a rate is known.
+const minLimit = 16
+
 // New returns an empty queue.
-func New[T any](cfg Config) *Queue[T] { return &Queue[T]{cfg: cfg} }
+func New[T any](cfg Config) *Queue[T] { return &Queue[T]{cfg: cfg, limit: cfg.Limit} }
 
 // Len returns the number of items held.
 func (q *Queue[T]) Len() int { return len(q.items) }
 
-// Push adds an item. If the queue is full, it returns the item that is worth
-// least, which is not held any more.
-func (q *Queue[T]) Push(now time.Time, it Item[T]) (Item[T], bool) {
-	q.items = append(q.items, it)
-	if len(q.items) <= q.cfg.Limit {
+// SetRate takes the number of items that are released in a second. Of more than
+// are released before callers give up, some would wait in vain; the limit falls
+// to that number.
+func (q *Queue[T]) SetRate(perSecond float64, patience time.Duration) {
+	q.limit = min(max(int(perSecond*patience.Seconds()), minLimit), q.cfg.Limit)
+}
+
+// Push adds an item.
+func (q *Queue[T]) Push(it Item[T]) { q.items = append(q.items, it) }
+
+// Excess removes and returns the item that is worth least, if there are more
+// than the limit allows.
+func (q *Queue[T]) Excess(now time.Time) (Item[T], bool) {
+	if len(q.items) <= q.limit {
 		return Item[T]{}, false
 	}
 	worst := 0
--- a/internal/hsqueue/queue_test.go
+++ b/internal/hsqueue/queue_test.go
@@ -35,29 +35,50 @@
 		item(0, 2, "late-old"), item(100, 2, "late-new"), item(50, 1, "late-urgent"),
 		item(300, 2, "new"), item(250, 2, "newer-but-one"), item(200, 1, "urgent"),
 	} {
-		q.Push(ms(300), it)
+		q.Push(it)
 	}
 	assert.DeepEqual(t, drain(q, ms(300)), []string{"urgent", "new", "newer-but-one", "late-urgent", "late-old", "late-new"})
 }
 
-// TestFull checks that the item worth least is pushed out.
-func TestFull(t *testing.T) {
+// TestExcess checks that the item worth least is pushed out.
+func TestExcess(t *testing.T) {
 	q := New[string](Config{Limit: 2})
-	q.Push(ms(0), item(0, 2, "a"))
-	q.Push(ms(300), item(300, 2, "b"))
-	out, dropped := q.Push(ms(300), item(299, 1, "c"))
+	q.Push(item(0, 2, "a"))
+	q.Push(item(300, 2, "b"))
+	_, dropped := q.Excess(ms(300))
+	assert.Assert(t, !dropped)
+	q.Push(item(299, 1, "c"))
+	out, dropped := q.Excess(ms(300))
 	assert.Assert(t, dropped)
 	assert.Equal(t, out.Value, "a")
-	out, dropped = q.Push(ms(301), item(-600, 2, "d"))
+	q.Push(item(-600, 2, "d"))
+	out, dropped = q.Excess(ms(301))
 	assert.Assert(t, dropped)
 	assert.Equal(t, out.Value, "d")
 }
 
+// TestRate checks that no more items wait than are released before their callers
+// give up.
+func TestRate(t *testing.T) {
+	q := New[string](Config{Limit: 1000})
+	for n := range 300 {
+		q.Push(item(n, 2, ""))
+	}
+	q.SetRate(100, time.Second)
+	for _, ok := q.Excess(ms(300)); ok; _, ok = q.Excess(ms(300)) {
+	}
+	assert.Equal(t, q.Len(), 100)
+	q.SetRate(0, time.Second)
+	for _, ok := q.Excess(ms(300)); ok; _, ok = q.Excess(ms(300)) {
+	}
+	assert.Equal(t, q.Len(), minLimit)
+}
+
 // TestExpire checks that items whose callers gave up are dropped.
 func TestExpire(t *testing.T) {
 	q := New[string](Config{Limit: 3})
-	q.Push(ms(0), item(0, 2, "a"))
-	q.Push(ms(0), item(100, 2, "b"))
+	q.Push(item(0, 2, "a"))
+	q.Push(item(100, 2, "b"))
 	it, ok := q.Expire(ms(1350))
 	assert.Assert(t, ok)
 	assert.Equal(t, it.Value, "a")
@@ -106,7 +127,7 @@
 			if q == nil {
 				fifo = append(fifo, item(now, 2, ""))
 			} else {
-				q.Push(ms(now), item(now, 2, ""))
+				q.Push(item(now, 2, ""))
 			}
 		}
 		for free > 0 {
