--- a/internal/hsdirect/record.go
+++ b/internal/hsdirect/record.go
@@ -25,13 +25,12 @@
 	// linesPerSecond bounds the lines about flows: a burst of refusals must not
 	// cost more than the packets themselves.
 	linesPerSecond = 25
-	// sampleMask selects one of 64 flows whose placement is logged although
-	// nothing is remarkable about it. All hosts select the same flows.
+	// sampleMask selects one of 64 flows whose placement or wait is logged. All
+	// hosts select the same flows.
 	sampleMask = 63
 )
 
-// flow writes a line about a decision that refused, held or dropped an opening
-// packet, or placed one of a sampled flow.
+// flow writes a line about a decision that is remarkable.
 func (r *recorder) flow(now time.Time, core *hscookie.Core, p *hscookie.Packet, v *hscookie.Verdict) {
 	if !remarkable(p, v) || !r.allow(now) {
 		return
@@ -55,9 +54,14 @@
 	line.Msg("flow decided")
 }
 
+// remarkable reports whether a decision gets a line: every refusal and dropped
+// opening packet, and of the others those of sampled flows.
 func remarkable(p *hscookie.Packet, v *hscookie.Verdict) bool {
-	if !v.Placed {
-		return p.Has(hscookie.Open) && v.Action != hscookie.Forward || v.Action == hscookie.Refuse
+	if v.Action == hscookie.Refuse || (v.Action == hscookie.Drop && p.Has(hscookie.Open)) {
+		return true
+	}
+	if !v.Placed && v.Action != hscookie.Hold {
+		return false
 	}
 	key := p.Key()
 	return key.Hash()&sampleMask == 0
