Log entries that cannot be read; one bounded GET for both stores; reload tested

Cause: an entry of the store that could not be read was left out without a line; the log of events could hold 512 configurations of up to 1 MB; two clients read bounded answers each in its own way; a fault of the settings was logged every 10 s; heartbeats carried a field that nobody read.

--- a/internal/hsdirect/control.go
+++ b/internal/hsdirect/control.go
@@ -101,7 +101,6 @@
 			Zone:  set.Zone,
 			Boot:  e.cfg.Boot,
 			Seeds: set.Seeds,
-			Start: time.Now(),
 		}),
 		counts: map[hscode.Code]uint64{},
 	}
--- a/internal/hsdirect/core.go
+++ b/internal/hsdirect/core.go
@@ -26,7 +26,6 @@
 		Boot uint64
 		// Members to ask first; some may be down or gone.
 		Seeds []netip.Addr
-		Start time.Time
 	}
 
 	// Send is a heartbeat to a member.
@@ -169,10 +168,7 @@
 func (c *Core) Peers() []hsroster.Peer { return c.roster.Peers() }
 
 // Start asks the seeds.
-func (c *Core) Start(now time.Time) Output {
-	c.apply(now, c.roster.SetStore(now, true, false))
-	return c.Seed(now, c.cfg.Seeds)
-}
+func (c *Core) Start(now time.Time) Output { return c.Seed(now, c.cfg.Seeds) }
 
 // Seed takes members that stay listed for good.
 func (c *Core) Seed(now time.Time, seeds []netip.Addr) Output {
@@ -245,7 +241,7 @@
 // Contact notes whether the store answers this host.
 func (c *Core) Contact(now time.Time, answers bool) Output {
 	c.refused = !answers
-	c.apply(now, c.roster.SetStore(now, c.reader, c.refused))
+	c.apply(now, c.roster.SetRefused(now, c.refused))
 	return c.take()
 }
 
@@ -367,7 +363,7 @@
 	}
 	c.reader = reader
 	c.out.Reader = true
-	c.apply(now, c.roster.SetStore(now, c.reader, c.refused && reader))
+	c.apply(now, c.roster.SetRefused(now, c.refused && reader))
 }
 
 // apply takes over what the roster decided.
--- a/internal/hsdirect/core_test.go
+++ b/internal/hsdirect/core_test.go
@@ -67,7 +67,6 @@
 		Zone:  h.zone,
 		Boot:  uint64(w.now.UnixMicro()),
 		Seeds: seeds,
-		Start: w.now,
 	})
 	w.carryOut(h, h.core.Start(w.now))
 }
--- a/internal/hsdirect/entry_test.go
+++ b/internal/hsdirect/entry_test.go
@@ -228,3 +228,35 @@
 		assert.Assert(t, strings.Contains(string(doc), fmt.Sprintf("| %s |", name)), "docs/METRICS.md does not name %s", name)
 	}
 }
+
+// TestReload checks that changed settings are taken over with one line, that
+// settings which are not valid change nothing, and that their fault is logged
+// once.
+func TestReload(t *testing.T) {
+	logs := syncBuffer{lines: make(chan string, 100)}
+	before := Settings{Name: "h1", Stop: time.Second}
+	after := Settings{Name: "h1", Stop: 2 * time.Second, Seeds: []netip.Addr{netip.MustParseAddr("10.0.0.9")}}
+	answers := []func() (Settings, error){
+		func() (Settings, error) { return before, nil },
+		func() (Settings, error) { return Settings{}, hscode.New(hscode.SettingFile, "f", "broken") },
+		func() (Settings, error) { return Settings{}, hscode.New(hscode.SettingFile, "f", "broken") },
+		func() (Settings, error) { return after, nil },
+	}
+	e := &Entry{toControl: make(chan controlMessage, 1)}
+	e.cfg = Config{Settings: before, Logger: &log.Logger{Writer: &log.IOWriter{Writer: &logs}}}
+	e.stopLimit.Store(int64(before.Stop))
+	r := &reloader{e: e, have: before}
+	for _, answer := range answers {
+		assert.Equal(t, e.stopLimit.Load(), int64(before.Stop))
+		e.cfg.Read = answer
+		r.step(t.Context(), false)
+	}
+	assert.Equal(t, e.stopLimit.Load(), int64(after.Stop))
+	assert.DeepEqual(t, fmt.Sprint((<-e.toControl).seeds), fmt.Sprint(after.Seeds))
+	close(logs.lines)
+	n := 0
+	for range logs.lines {
+		n++
+	}
+	assert.Equal(t, n, 2, "one line about the fault, one about the change")
+}
--- a/internal/hsdirect/reader.go
+++ b/internal/hsdirect/reader.go
@@ -87,6 +87,9 @@
 		r.failed(ctx, err)
 		return
 	}
+	for _, f := range u.Faults {
+		r.e.log(log.WarnLevel, f.Code).Str("key", f.Path).Str("detail", f.Detail).Msg("entry of the store left out")
+	}
 	r.contact(ctx, true)
 	r.backoff = backoffMin
 	r.after = u.Revision
--- a/internal/hsdirect/reload.go
+++ b/internal/hsdirect/reload.go
@@ -14,6 +14,14 @@
 // change without a signal.
 const rereadInterval = 10 * time.Second
 
+// reloader is the state of the reload task.
+type reloader struct {
+	e    *Entry
+	have Settings
+	// Fault of the last read; empty if there was none.
+	fault string
+}
+
 // runReload reads the settings again when a signal says so and from time to
 // time. Seeds and time limits are taken over; addresses hold until the process
 // starts again. Settings that are not valid change nothing.
@@ -23,7 +31,7 @@
 	}
 	ticker := time.NewTicker(rereadInterval)
 	defer ticker.Stop()
-	have := e.cfg.Settings
+	r := &reloader{e: e, have: e.cfg.Settings}
 	for {
 		signalled := false
 		select {
@@ -33,20 +41,33 @@
 		case <-ctx.Done():
 			return nil
 		}
-		next, err := e.cfg.Read()
-		if err != nil {
-			e.log(log.WarnLevel, codeOf(err, hscode.SettingFile)).Err(err).Msg("settings not taken over")
-			continue
-		}
-		changed := !reflect.DeepEqual(have, next)
-		if changed || signalled {
-			e.log(log.InfoLevel, hscode.ProcessReload).Bool("changed", changed).Bool("signalled", signalled).Msg("settings read again")
-		}
-		have = next
-		e.stopLimit.Store(int64(next.Stop))
-		select {
-		case e.toControl <- controlMessage{seeds: next.Seeds}:
-		case <-ctx.Done():
+		r.step(ctx, signalled)
+	}
+}
+
+// step reads the settings once. A fault that stays the same is logged once,
+// unless a signal asked for the settings.
+func (r *reloader) step(ctx context.Context, signalled bool) {
+	next, err := r.e.cfg.Read()
+	if err != nil {
+		if signalled || err.Error() != r.fault {
+			r.e.log(log.WarnLevel, codeOf(err, hscode.SettingFile)).Err(err).Msg("settings not taken over")
 		}
+		r.fault = err.Error()
+		return
+	}
+	r.fault = ""
+	changed := !reflect.DeepEqual(r.have, next)
+	if changed || signalled {
+		r.e.log(log.InfoLevel, hscode.ProcessReload).Bool("changed", changed).Bool("signalled", signalled).Msg("settings read again")
+	}
+	if !changed {
+		return
+	}
+	r.have = next
+	r.e.stopLimit.Store(int64(next.Stop))
+	select {
+	case r.e.toControl <- controlMessage{seeds: next.Seeds}:
+	case <-ctx.Done():
 	}
 }
--- a/internal/hsfeed/keeper.go
+++ b/internal/hsfeed/keeper.go
@@ -160,7 +160,14 @@
 	ch.Events++
 }
 
+// remember adds an event to the log. A configuration replaces the one before, so
+// that the log holds one at most: whoever is behind needs only the newest, which
+// names the earlier services of its routes.
 func (k *Keeper) remember(ev Event) {
+	if ev.Configuration != nil {
+		ev.Configuration = k.configuration
+		k.log = slices.DeleteFunc(k.log, func(old Event) bool { return old.Configuration != nil })
+	}
 	if len(k.log) == maxLog {
 		k.logged = k.log[0].Revision
 		k.log = slices.Delete(k.log, 0, 1)
--- a/internal/hsfeed/keeper_test.go
+++ b/internal/hsfeed/keeper_test.go
@@ -173,3 +173,18 @@
 	assert.Assert(t, ok)
 	assert.Equal(t, len(u.Events), 9)
 }
+
+// TestLogKeepsOneConfiguration checks that a host which is behind gets the newest
+// configuration with all earlier services of its routes, and no older one.
+func TestLogKeepsOneConfiguration(t *testing.T) {
+	k := &Keeper{}
+	apply(t, k, Update{Revision: 1, Events: []Event{{Revision: 1, Configuration: configuration(1, "desk")}}}, hscode.OK)
+	for i, service := range []string{"vault", "press"} {
+		r := uint64(i + 2)
+		apply(t, k, Update{Since: r - 1, Revision: r, Events: []Event{{Revision: r, Configuration: configuration(r, service)}}}, hscode.OK)
+	}
+	u, ok := k.Since(1)
+	assert.Assert(t, ok)
+	assert.Equal(t, len(u.Events), 1)
+	assert.DeepEqual(t, u.Events[0].Configuration.Routes[0].Earlier, []string{"desk", "vault"})
+}
--- a/internal/hsfeed/types.go
+++ b/internal/hsfeed/types.go
@@ -7,6 +7,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"heatherstack.org/heatherstack/internal/hscode"
 )
 
 type (
@@ -89,6 +91,8 @@
 		// and some may be later than Revision, since the store lists its items
 		// page by page while they change.
 		Events []Event
+		// Items of the store that could not be read; not passed on to members.
+		Faults hscode.Faults
 	}
 
 	// Entry is a target with the revision and time of its announcement.
--- a/internal/hsplatform/client.go
+++ b/internal/hsplatform/client.go
@@ -9,12 +9,12 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"time"
 
 	"heatherstack.org/heatherstack/internal/hscode"
+	"heatherstack.org/heatherstack/internal/hshttp"
 	"heatherstack.org/heatherstack/internal/hsmanifest"
 )
 
@@ -48,22 +48,18 @@
 func (c *Client) Read(ctx context.Context, wait time.Duration) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+extra)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url.String(), http.NoBody)
-	if err != nil {
-		return nil, hscode.New(hscode.PlatformRead, "platform", "%v", err)
-	}
+	header := http.Header{}
 	if c.etag != "" {
-		req.Header.Set("If-None-Match", c.etag)
-		req.Header.Set("Prefer", fmt.Sprintf("wait=%d", int(wait/time.Second)))
+		header.Set("If-None-Match", c.etag)
+		header.Set("Prefer", fmt.Sprintf("wait=%d", int(wait/time.Second)))
 	}
-	res, err := c.http.Do(req)
+	res, data, err := hshttp.Get(ctx, c.http, c.url.String(), header, hsmanifest.MaxSize)
 	if err != nil {
 		return nil, hscode.New(hscode.PlatformRead, "platform", "%v", err)
 	}
-	defer func() { _ = res.Body.Close() }()
 	switch res.StatusCode {
 	case http.StatusOK:
-		return c.body(res)
+		return c.body(res, data)
 	case http.StatusNotModified:
 		return nil, nil
 	default:
@@ -71,11 +67,7 @@
 	}
 }
 
-func (c *Client) body(res *http.Response) ([]byte, error) {
-	data, err := io.ReadAll(io.LimitReader(res.Body, hsmanifest.MaxSize+1))
-	if err != nil {
-		return nil, hscode.New(hscode.PlatformRead, "platform", "%v", err)
-	}
+func (c *Client) body(res *http.Response, data []byte) ([]byte, error) {
 	if len(data) > hsmanifest.MaxSize {
 		return nil, hscode.New(hscode.PlatformSize, "platform", "has more than %d bytes", hsmanifest.MaxSize)
 	}
--- a/internal/hsroster/message.go
+++ b/internal/hsroster/message.go
@@ -75,7 +75,6 @@
 	m.version = hb.GetVersion()
 	m.digest = hb.GetDigest()
 	m.zone = hb.GetZone()
-	m.reading = hb.GetReading()
 	m.refused = hb.GetRefused()
 	switch {
 	case hb.GetGone():
@@ -201,7 +200,6 @@
 		Gone:    r.gone,
 		Rumors:  r.pickRumors(),
 		Zone:    r.cfg.Zone,
-		Reading: r.reading,
 		Refused: r.refused,
 	}
 	// An ack follows at once on the other's message; a ping's loads suffice.
--- a/internal/hsroster/roster.go
+++ b/internal/hsroster/roster.go
@@ -49,8 +49,6 @@
 		Alive bool
 		// Time of the last message from the member itself.
 		Heard time.Time
-		// True if the member says that it reads the store.
-		Reading bool
 		// True if the member says that the store does not answer it.
 		Refused bool
 	}
@@ -95,8 +93,7 @@
 		digest  uint64
 		history uint64
 		loads   []*hsschema.Load
-		// What heartbeats say of this host and the store.
-		reading bool
+		// True if the store does not answer this host.
 		refused bool
 		out     Output
 	}
@@ -116,7 +113,6 @@
 		version uint64
 		digest  uint64
 		zone    string
-		reading bool
 		refused bool
 		// True if the member stays listed when it is dead.
 		seed bool
@@ -222,7 +218,6 @@
 			// A member that was never heard is a name, not a host.
 			Alive:   m.boot > 0 && (m.state == Alive || m.state == Suspect),
 			Heard:   m.heard,
-			Reading: m.reading,
 			Refused: m.refused,
 		})
 	}
@@ -238,12 +233,12 @@
 	return hb
 }
 
-// SetStore notes what heartbeats say of this host and the store, and tells the
-// members if it changed.
-func (r *Roster) SetStore(now time.Time, reading, refused bool) Output {
+// SetRefused notes whether the store does not answer this host, which heartbeats
+// carry, and tells the members if that changed.
+func (r *Roster) SetRefused(now time.Time, refused bool) Output {
 	r.begin()
-	if r.reading != reading || r.refused != refused {
-		r.reading, r.refused = reading, refused
+	if r.refused != refused {
+		r.refused = refused
 		r.tellAll(now)
 	}
 	return r.out
