Return the answer of a bounded GET as a value

Cause: the linter takes a response that leaves a function for one whose body is still open. Change: hshttp.Answer has status, header and body.

--- a/internal/hshttp/hshttp.go
+++ b/internal/hshttp/hshttp.go
@@ -36,25 +36,31 @@
 	return g.Wait()
 }
 
-// Get answers with the response to a GET and its body, of which at most limit+1
-// bytes are read: a longer body than limit means that it is too large. The body
-// is closed.
-func Get(ctx context.Context, c *http.Client, url string, h http.Header, limit int64) (*http.Response, []byte, error) {
+// Answer is the answer to a call.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Get makes a GET and reads at most limit+1 bytes of the answer's body: a longer
+// body than limit means that it is too large.
+func Get(ctx context.Context, c *http.Client, url string, h http.Header, limit int64) (Answer, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
 	if err != nil {
-		return nil, nil, errors.Trace(err)
+		return Answer{}, errors.Trace(err)
 	}
 	req.Header = h
 	res, err := c.Do(req)
 	if err != nil {
-		return nil, nil, errors.Trace(err)
+		return Answer{}, errors.Trace(err)
 	}
 	// The body is read whole or the connection is dropped; either way there is
 	// nothing left to close in order.
 	defer func() { _ = res.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(res.Body, limit+1))
 	if err != nil {
-		return nil, nil, errors.Trace(err)
+		return Answer{}, errors.Trace(err)
 	}
-	return res, body, nil
+	return Answer{Status: res.StatusCode, Header: res.Header, Body: body}, nil
 }
--- a/internal/hsplatform/client.go
+++ b/internal/hsplatform/client.go
@@ -53,24 +53,24 @@
 		header.Set("If-None-Match", c.etag)
 		header.Set("Prefer", fmt.Sprintf("wait=%d", int(wait/time.Second)))
 	}
-	res, data, err := hshttp.Get(ctx, c.http, c.url.String(), header, hsmanifest.MaxSize)
+	res, err := hshttp.Get(ctx, c.http, c.url.String(), header, hsmanifest.MaxSize)
 	if err != nil {
 		return nil, hscode.New(hscode.PlatformRead, "platform", "%v", err)
 	}
-	switch res.StatusCode {
+	switch res.Status {
 	case http.StatusOK:
-		return c.body(res, data)
+		return c.body(&res)
 	case http.StatusNotModified:
 		return nil, nil
 	default:
-		return nil, hscode.New(hscode.PlatformStatus, "platform", "answered %s", res.Status)
+		return nil, hscode.New(hscode.PlatformStatus, "platform", "answered %d", res.Status)
 	}
 }
 
-func (c *Client) body(res *http.Response, data []byte) ([]byte, error) {
-	if len(data) > hsmanifest.MaxSize {
+func (c *Client) body(res *hshttp.Answer) ([]byte, error) {
+	if len(res.Body) > hsmanifest.MaxSize {
 		return nil, hscode.New(hscode.PlatformSize, "platform", "has more than %d bytes", hsmanifest.MaxSize)
 	}
 	c.etag = res.Header.Get("ETag")
-	return data, nil
+	return res.Body, nil
 }
