Apply changes that follow on a revision at which nothing was new

Cause: found by reading: the store numbers changes of keys that mean nothing here as well, and a list may be read again unchanged. The next change followed on a revision that the keeper had not noted, and was refused as a gap; a reader would have missed everything until it listed again.

Change: the keeper knows up to which revision it has seen everything, apart from the revision of the last change, which peers compare.

Test: TestKeeperFollowsUnchangedList failed before with 5007 peer-gap.

--- a/internal/hsdirect/reader.go
+++ b/internal/hsdirect/reader.go
@@ -93,9 +93,7 @@
 	r.contact(ctx, true)
 	r.backoff = backoffMin
 	r.after = u.Revision
-	if len(u.Events) > 0 || u.Since == 0 {
-		r.tell(ctx, controlMessage{update: &u})
-	}
+	r.tell(ctx, controlMessage{update: &u})
 }
 
 func (r *storeReader) read(ctx context.Context) (hsfeed.Update, error) {
--- a/internal/hsfeed/keeper.go
+++ b/internal/hsfeed/keeper.go
@@ -12,8 +12,11 @@
 	// Keeper holds the state at the highest revision heard of and the events
 	// that led there. It is not safe for concurrent use.
 	Keeper struct {
-		// 0 before the first update.
+		// Revision of the last change; 0 before the first update.
 		revision uint64
+		// Revision up to which everything is known: at least revision, and more
+		// if what followed changed nothing here.
+		seen uint64
 		// Nil before the first configuration.
 		configuration *Configuration
 		configuredAt  uint64
@@ -62,7 +65,7 @@
 	if u.Since == 0 {
 		return k.replace(now, u), hscode.OK
 	}
-	if u.Since > k.revision {
+	if u.Since > k.seen {
 		return Change{}, hscode.PeerGap
 	}
 	var ch Change
@@ -72,7 +75,10 @@
 			k.remember(u.Events[i])
 		}
 	}
-	k.revision = u.Revision
+	if len(u.Events) > 0 {
+		k.revision = u.Revision
+	}
+	k.seen = max(k.seen, u.Revision)
 	return ch, hscode.OK
 }
 
@@ -123,6 +129,7 @@
 			ch.Targets = true
 		}
 	}
+	k.seen = max(k.seen, u.Revision)
 	if k.revision > 0 && ch == (Change{}) {
 		return ch
 	}
--- a/internal/hsfeed/keeper_test.go
+++ b/internal/hsfeed/keeper_test.go
@@ -188,3 +188,25 @@
 	assert.Equal(t, len(u.Events), 1)
 	assert.DeepEqual(t, u.Events[0].Configuration.Routes[0].Earlier, []string{"desk", "vault"})
 }
+
+// TestKeeperFollowsUnchangedList checks that changes which follow on a revision at
+// which nothing was new are applied: the store numbers changes of other keys too.
+func TestKeeperFollowsUnchangedList(t *testing.T) {
+	events := []Event{{Revision: 5, Target: announce(1, 3)}}
+	quiet := map[string]Update{
+		"the same list":  {Revision: 30, Events: events},
+		"no changes":     {Since: 7, Revision: 30},
+		"an old removal": {Since: 7, Revision: 30, Events: []Event{{Revision: 29, Gone: 9}}},
+	}
+	for name, u := range quiet {
+		k := &Keeper{}
+		apply(t, k, Update{Revision: 7, Events: events}, hscode.OK)
+		apply(t, k, u, hscode.OK)
+		ch := apply(t, k, Update{Since: 30, Revision: 31, Events: []Event{{Revision: 31, Target: announce(2, 3)}}}, hscode.OK)
+		assert.Assert(t, ch.Targets, name)
+		assert.Equal(t, k.Revision(), uint64(31), name)
+		back, ok := k.Since(7)
+		assert.Assert(t, ok, name)
+		assert.Equal(t, len(back.Events) > 0, true, name)
+	}
+}
