Keep one copy of what tasks share

Cause: sleeping, asking another task, opening sockets and finding an error's code stood in both programs. Change: hstask and hscode.Of serve both. Behaviour stays.

--- a/internal/hscode/hscode.go
+++ b/internal/hscode/hscode.go
@@ -4,6 +4,7 @@
 package hscode
 
 import (
+	"errors"
 	"fmt"
 	"strings"
 )
@@ -198,6 +199,15 @@
 	return &Error{Code: c, Path: path, Detail: fmt.Sprintf(format, args...)}
 }
 
+// Of returns the code of an error, or otherwise if it carries none.
+func Of(err error, otherwise Code) Code {
+	var coded *Error
+	if errors.As(err, &coded) {
+		return coded.Code
+	}
+	return otherwise
+}
+
 // Error implements error as "code name: path: detail".
 func (e *Error) Error() string {
 	return fmt.Sprintf("%s: %s: %s", e.Code, e.Path, e.Detail)
--- a/internal/hsdirect/control.go
+++ b/internal/hsdirect/control.go
@@ -14,6 +14,7 @@
 	"heatherstack.org/heatherstack/internal/hscode"
 	"heatherstack.org/heatherstack/internal/hsfeed"
 	"heatherstack.org/heatherstack/internal/hsschema"
+	"heatherstack.org/heatherstack/internal/hstask"
 )
 
 type (
@@ -77,7 +78,7 @@
 		}
 		if err != nil {
 			e.log(log.WarnLevel, hscode.ProcessSocket).Err(err).Msg("heartbeat not read")
-			sleep(ctx, TickInterval)
+			hstask.Sleep(ctx, TickInterval)
 			continue
 		}
 		hb := &hsschema.Heartbeat{}
--- a/internal/hsdirect/entry.go
+++ b/internal/hsdirect/entry.go
@@ -29,6 +29,7 @@
 	"heatherstack.org/heatherstack/internal/hscookie"
 	"heatherstack.org/heatherstack/internal/hsfeed"
 	"heatherstack.org/heatherstack/internal/hshttp"
+	"heatherstack.org/heatherstack/internal/hstask"
 )
 
 type (
@@ -198,7 +199,7 @@
 	}
 	begin := time.Now()
 	for ctx.Err() == nil {
-		sleep(ctx, stopPoll)
+		hstask.Sleep(ctx, stopPoll)
 		age := time.Since(begin)
 		quiet := time.Since(e.started) - time.Duration(e.traffic.Load())
 		if age >= time.Duration(e.stopLimit.Load()) || (age >= stopLeast && quiet >= quietAfter) {
@@ -211,39 +212,23 @@
 func (e *Entry) open() error {
 	s := &e.cfg.Settings
 	var err error
-	if e.sockets.data, err = listenUDP(s.Data); err != nil {
+	if e.sockets.data, err = hstask.ListenUDP(s.Data); err != nil {
 		return errors.Trace(err)
 	}
 	if err := e.sockets.data.SetReadBuffer(dataBuffer); err != nil {
 		e.log(log.WarnLevel, hscode.ProcessSocket).Err(err).Msg("receive buffer keeps its default size")
 	}
 	peer := netip.AddrPortFrom(s.Data.Addr(), s.Peer)
-	if e.sockets.peer, err = listenUDP(peer); err != nil {
+	if e.sockets.peer, err = hstask.ListenUDP(peer); err != nil {
 		return errors.Trace(err)
 	}
-	if e.sockets.calls, err = listenTCP(peer); err != nil {
+	if e.sockets.calls, err = hstask.ListenTCP(peer); err != nil {
 		return errors.Trace(err)
 	}
-	e.sockets.ready, err = listenTCP(s.Ready)
+	e.sockets.ready, err = hstask.ListenTCP(s.Ready)
 	return errors.Trace(err)
 }
 
-func listenUDP(a netip.AddrPort) (*net.UDPConn, error) {
-	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(a))
-	if err != nil {
-		return nil, hscode.New(hscode.ProcessSocket, a.String(), "%v", err)
-	}
-	return conn, nil
-}
-
-func listenTCP(a netip.AddrPort) (net.Listener, error) {
-	l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(a))
-	if err != nil {
-		return nil, hscode.New(hscode.ProcessSocket, a.String(), "%v", err)
-	}
-	return l, nil
-}
-
 // close closes the sockets. What goes wrong is of no use to anyone, as the
 // process ends.
 func (s *sockets) close() {
@@ -282,12 +267,3 @@
 		Uint64("boot", e.cfg.Boot).
 		Uint16("code", uint16(code))
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/hsdirect/main.go
+++ b/internal/hsdirect/main.go
@@ -84,7 +84,7 @@
 		err = e.Run(ctx)
 	}
 	if err != nil {
-		code := codeOf(err, hscode.ProcessSocket)
+		code := hscode.Of(err, hscode.ProcessSocket)
 		logger.Error().Uint16("code", uint16(code)).Err(errors.Cause(err)).Msg("entry host failed")
 		return exitFailed
 	}
--- a/internal/hsdirect/metrics.go
+++ b/internal/hsdirect/metrics.go
@@ -10,6 +10,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"heatherstack.org/heatherstack/internal/hscode"
+	"heatherstack.org/heatherstack/internal/hstask"
 )
 
 const (
@@ -24,13 +25,9 @@
 	defer cancel()
 	fromData := make(chan DataStatus, 1)
 	e.tellData(ctx, dataMessage{status: fromData})
+	data, ok := hstask.Await(ctx, fromData)
 	fromControl := make(chan ControlStatus, 1)
-	select {
-	case e.toControl <- controlMessage{status: fromControl}:
-	case <-ctx.Done():
-	}
-	data, ok := receive(ctx, fromData)
-	ctl, ok2 := receive(ctx, fromControl)
+	ctl, ok2 := hstask.Ask(ctx, e.toControl, controlMessage{status: fromControl}, fromControl)
 	if !ok || !ok2 {
 		http.Error(w, "stopping", http.StatusServiceUnavailable)
 		return
@@ -98,13 +95,3 @@
 	}
 	return out
 }
-
-func receive[T any](ctx context.Context, from <-chan T) (T, bool) {
-	select {
-	case v := <-from:
-		return v, true
-	case <-ctx.Done():
-		var none T
-		return none, false
-	}
-}
--- a/internal/hsdirect/peer.go
+++ b/internal/hsdirect/peer.go
@@ -16,6 +16,7 @@
 	"heatherstack.org/heatherstack/internal/hshttp"
 	"heatherstack.org/heatherstack/internal/hsschema"
 	"heatherstack.org/heatherstack/internal/hsschema/hsschemaconnect"
+	"heatherstack.org/heatherstack/internal/hstask"
 )
 
 // callServer answers the calls of members.
@@ -99,15 +100,9 @@
 	ctx context.Context, req *connect.Request[hsschema.FollowRequest],
 ) (*connect.Response[hsschema.FollowResponse], error) {
 	answer := make(chan *hsschema.Update, 1)
-	select {
-	case s.e.toControl <- controlMessage{follow: answer, since: req.Msg.GetSince()}:
-	case <-ctx.Done():
-		return nil, connect.NewError(connect.CodeUnavailable, ctx.Err())
-	}
-	select {
-	case u := <-answer:
-		return connect.NewResponse(&hsschema.FollowResponse{Update: u}), nil
-	case <-ctx.Done():
+	u, ok := hstask.Ask(ctx, s.e.toControl, controlMessage{follow: answer, since: req.Msg.GetSince()}, answer)
+	if !ok {
 		return nil, connect.NewError(connect.CodeUnavailable, ctx.Err())
 	}
+	return connect.NewResponse(&hsschema.FollowResponse{Update: u}), nil
 }
--- a/internal/hsdirect/reader.go
+++ b/internal/hsdirect/reader.go
@@ -11,6 +11,7 @@
 
 	"heatherstack.org/heatherstack/internal/hscode"
 	"heatherstack.org/heatherstack/internal/hsfeed"
+	"heatherstack.org/heatherstack/internal/hstask"
 )
 
 // storeReader is the state of the reader task.
@@ -105,14 +106,14 @@
 
 func (r *storeReader) failed(ctx context.Context, err error) {
 	r.e.failures.Add(1)
-	code := codeOf(err, hscode.PlatformRead)
+	code := hscode.Of(err, hscode.PlatformRead)
 	r.e.log(log.WarnLevel, code).Uint64("after", r.after).Err(errors.Cause(err)).Msg("store not read")
 	if code == hscode.PlatformHistory {
 		r.after = 0
 		return
 	}
 	r.contact(ctx, false)
-	sleep(ctx, r.backoff/2+rand.N(r.backoff))
+	hstask.Sleep(ctx, r.backoff/2+rand.N(r.backoff))
 	r.backoff = min(2*r.backoff, backoffMax)
 }
 
@@ -132,11 +133,3 @@
 	case <-ctx.Done():
 	}
 }
-
-func codeOf(err error, otherwise hscode.Code) hscode.Code {
-	var coded *hscode.Error
-	if errors.As(err, &coded) {
-		return coded.Code
-	}
-	return otherwise
-}
--- a/internal/hsdirect/reload.go
+++ b/internal/hsdirect/reload.go
@@ -51,7 +51,7 @@
 	next, err := r.e.cfg.Read()
 	if err != nil {
 		if signalled || err.Error() != r.fault {
-			r.e.log(log.WarnLevel, codeOf(err, hscode.SettingFile)).Err(err).Msg("settings not taken over")
+			r.e.log(log.WarnLevel, hscode.Of(err, hscode.SettingFile)).Err(err).Msg("settings not taken over")
 		}
 		r.fault = err.Error()
 		return
--- a/internal/hsentry/admin.go
+++ b/internal/hsentry/admin.go
@@ -11,6 +11,7 @@
 	"heatherstack.org/heatherstack/internal/hscode"
 	"heatherstack.org/heatherstack/internal/hshttp"
 	"heatherstack.org/heatherstack/internal/hsrank"
+	"heatherstack.org/heatherstack/internal/hstask"
 )
 
 // Status is what the status page shows.
@@ -57,12 +58,12 @@
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
 	fromSwitch := make(chan SwitchStatus, 1)
-	sw, ok := ask(ctx, e.toSwitch, switchMessage{status: fromSwitch}, fromSwitch)
+	sw, ok := hstask.Ask(ctx, e.toSwitch, switchMessage{status: fromSwitch}, fromSwitch)
 	if !ok {
 		return Status{}, false
 	}
 	fromControl := make(chan ControlStatus, 1)
-	ctl, ok := ask(ctx, e.toControl, controlMessage{kind: statusMessage, status: fromControl}, fromControl)
+	ctl, ok := hstask.Ask(ctx, e.toControl, controlMessage{kind: statusMessage, status: fromControl}, fromControl)
 	if !ok {
 		return Status{}, false
 	}
--- a/internal/hsentry/entry.go
+++ b/internal/hsentry/entry.go
@@ -16,7 +16,6 @@
 	"context"
 	"net"
 	"net/netip"
-	"strconv"
 	"sync"
 	"time"
 
@@ -29,6 +28,7 @@
 	"heatherstack.org/heatherstack/internal/hsplatform"
 	"heatherstack.org/heatherstack/internal/hssettings"
 	"heatherstack.org/heatherstack/internal/hssocket"
+	"heatherstack.org/heatherstack/internal/hstask"
 )
 
 type (
@@ -170,11 +170,11 @@
 	if e.sockets.control, err = listenUDP(netip.AddrPortFrom(s.Address, s.Control)); err != nil {
 		return errors.Trace(err)
 	}
-	if e.sockets.peer, err = listenTCP(netip.AddrPortFrom(s.Address, s.Peer)); err != nil {
+	if e.sockets.peer, err = hstask.ListenTCP(netip.AddrPortFrom(s.Address, s.Peer)); err != nil {
 		return errors.Trace(err)
 	}
 	if s.Admin.IsValid() {
-		if e.sockets.admin, err = listenTCP(s.Admin); err != nil {
+		if e.sockets.admin, err = hstask.ListenTCP(s.Admin); err != nil {
 			return errors.Trace(err)
 		}
 	}
@@ -182,23 +182,15 @@
 }
 
 func listenUDP(a netip.AddrPort) (*net.UDPConn, error) {
-	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(a))
+	conn, err := hstask.ListenUDP(a)
 	if err != nil {
-		return nil, hscode.New(hscode.ProcessSocket, a.String(), "%v", err)
+		return nil, errors.Trace(err)
 	}
 	_ = conn.SetReadBuffer(socketBuffer)
 	_ = conn.SetWriteBuffer(socketBuffer)
 	return conn, nil
 }
 
-func listenTCP(a netip.AddrPort) (net.Listener, error) {
-	l, err := net.Listen("tcp", net.JoinHostPort(a.Addr().String(), strconv.Itoa(int(a.Port()))))
-	if err != nil {
-		return nil, hscode.New(hscode.ProcessSocket, a.String(), "%v", err)
-	}
-	return l, nil
-}
-
 func (s *sockets) close() {
 	if s.data != nil {
 		_ = s.data.Close()
--- a/internal/hsentry/main.go
+++ b/internal/hsentry/main.go
@@ -62,7 +62,7 @@
 		err = e.Run(ctx)
 	}
 	if err != nil {
-		code := codeOf(err, hscode.ProcessSocket)
+		code := hscode.Of(err, hscode.ProcessSocket)
 		logger.Error().Uint16("code", uint16(code)).Err(errors.Cause(err)).Msg("entry host failed")
 		return exitFailed
 	}
--- a/internal/hsentry/peer.go
+++ b/internal/hsentry/peer.go
@@ -19,6 +19,7 @@
 	"heatherstack.org/heatherstack/internal/hsmanifest"
 	"heatherstack.org/heatherstack/internal/hsschema"
 	"heatherstack.org/heatherstack/internal/hsschema/hsschemaconnect"
+	"heatherstack.org/heatherstack/internal/hstask"
 )
 
 type (
@@ -82,7 +83,7 @@
 		if err = p.handOver(ctx, m); err == nil || ctx.Err() != nil {
 			return
 		}
-		sleep(ctx, handoverPause)
+		hstask.Sleep(ctx, handoverPause)
 	}
 	p.e.log(log.WarnLevel, hscode.PeerHandover).Str("to", m.to.String()).Err(err).Msg("handover failed")
 }
@@ -144,7 +145,7 @@
 	}
 	taken := make(chan bool, 1)
 	m := switchMessage{input: hshome.Input{Kind: hshome.InEntries, Entries: entries}, taken: taken}
-	if ready, ok := ask(ctx, s.e.toSwitch, m, taken); !ok || !ready {
+	if ready, ok := hstask.Ask(ctx, s.e.toSwitch, m, taken); !ok || !ready {
 		return nil, connect.NewError(connect.CodeUnavailable, hscode.New(hscode.PeerHandover, "call", "not ready"))
 	}
 	return connect.NewResponse(&hsschema.HandoverResponse{Taken: uint32(len(entries))}), nil
@@ -179,23 +180,7 @@
 // current asks the control task for the manifest in force.
 func (e *Entry) current(ctx context.Context) (current, bool) {
 	answer := make(chan current, 1)
-	return ask(ctx, e.toControl, controlMessage{kind: currentMessage, current: answer}, answer)
-}
-
-// ask sends a question to a task and waits for the answer.
-func ask[Q, A any](ctx context.Context, to chan<- Q, question Q, answer <-chan A) (A, bool) {
-	var none A
-	select {
-	case to <- question:
-	case <-ctx.Done():
-		return none, false
-	}
-	select {
-	case a := <-answer:
-		return a, true
-	case <-ctx.Done():
-		return none, false
-	}
+	return hstask.Ask(ctx, e.toControl, controlMessage{kind: currentMessage, current: answer}, answer)
 }
 
 func packEntry(e *hshome.Entry) *hsschema.Entry {
--- a/internal/hsentry/platform.go
+++ b/internal/hsentry/platform.go
@@ -10,6 +10,7 @@
 
 	"heatherstack.org/heatherstack/internal/hscode"
 	"heatherstack.org/heatherstack/internal/hsmanifest"
+	"heatherstack.org/heatherstack/internal/hstask"
 )
 
 const (
@@ -32,11 +33,11 @@
 			backoff = backoffMin
 			// A platform that neither holds answers back nor knows ETags is not
 			// read in a tight loop.
-			sleep(ctx, readPause)
+			hstask.Sleep(ctx, readPause)
 			continue
 		}
-		e.log(log.WarnLevel, codeOf(err, hscode.PlatformRead)).Err(err).Msg("platform not read")
-		sleep(ctx, backoff/2+rand.N(backoff))
+		e.log(log.WarnLevel, hscode.Of(err, hscode.PlatformRead)).Err(err).Msg("platform not read")
+		hstask.Sleep(ctx, backoff/2+rand.N(backoff))
 		backoff = min(2*backoff, backoffMax)
 	}
 	return nil
@@ -81,20 +82,3 @@
 		return errors.Trace(ctx.Err())
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
-func codeOf(err error, otherwise hscode.Code) hscode.Code {
-	var coded *hscode.Error
-	if errors.As(err, &coded) {
-		return coded.Code
-	}
-	return otherwise
-}
