Place a held flow once, by the configuration in force

Cause: found by reading: with an objective of over 500 ms a copy can still meet it; it was placed while the first packet was held, which was placed again when it was released, on another target. Two targets would answer, and the caller's cookie may name the one that does not hold the flow. A held packet also followed the configuration of its arrival.

Change: a flow that is held is not placed by its copies; a released packet is decided anew.

Test: TestHeldCopyInTime (placed 2, want 1) and TestHeldRouteChanges failed before.

--- a/internal/hscookie/admit.go
+++ b/internal/hscookie/admit.go
@@ -12,9 +12,10 @@
 
 // held is an opening packet that waits for a free slot.
 type held struct {
-	packet  Packet
-	key     hsflow.Key
-	hash    uint64
+	packet Packet
+	key    hsflow.Key
+	hash   uint64
+	// Service that takes the flow by the configuration in force.
 	service string
 }
 
@@ -51,23 +52,23 @@
 var copyTimes = []time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond}
 
 // admit places a flow, or holds its opening packet while its service is full.
-func (c *Core) admit(now time.Time, r *heldRoute, h *held) Verdict {
-	it := newItem(now, r, h)
+func (c *Core) admit(now time.Time, r *knownRoute, h *held) Verdict {
 	v := Verdict{Action: Hold, Code: hscode.FlowOverload}
+	if c.held.Find(func(old *held) bool { return old.key == h.key }) != nil {
+		return v
+	}
+	it := newItem(now, r, h)
 	if c.held.Len() == 0 || it.InTime(now) {
 		if v = c.placeItem(now, &it); v.Action != Hold {
 			return v
 		}
 	}
-	if old := c.held.Find(func(v *held) bool { return v.key == h.key }); old != nil {
-		return v
-	}
 	it.Value.packet.Raw = bytes.Clone(h.packet.Raw)
 	c.held.Push(it)
 	return v
 }
 
-func newItem(now time.Time, r *heldRoute, h *held) hsqueue.Item[held] {
+func newItem(now time.Time, r *knownRoute, h *held) hsqueue.Item[held] {
 	since := now.Add(-copyTimes[min(int(h.packet.Copies), len(copyTimes)-1)])
 	aim := r.Aim - time.Duration(workShare*float64(r.Aim))
 	return hsqueue.Item[held]{
@@ -120,7 +121,7 @@
 		if it == nil {
 			return Packet{}, Verdict{}, false
 		}
-		v := c.placeItem(now, it)
+		v := c.again(now, it)
 		if v.Action == Hold {
 			full[it.Value.service] = true
 			continue
@@ -131,6 +132,16 @@
 	}
 }
 
+// again decides about a held item by the configuration in force now.
+func (c *Core) again(now time.Time, it *hsqueue.Item[held]) Verdict {
+	r := c.routes.byPlace[it.Value.packet.To]
+	if r == nil || !r.until.IsZero() {
+		return Verdict{Action: Refuse, Code: hscode.FlowNoService}
+	}
+	it.Value.service = r.service(it.Value.hash)
+	return c.placeItem(now, it)
+}
+
 // learnRate measures how many flows this host places in a second, which while
 // packets wait is what its share of the targets can serve.
 func (c *Core) learnRate(now time.Time) {
--- a/internal/hscookie/core.go
+++ b/internal/hscookie/core.go
@@ -98,11 +98,6 @@
 	}
 )
 
-// String returns the action in one word.
-func (a Action) String() string { return actions[a] }
-
-var actions = [...]string{Drop: "drop", Forward: "forward", Refuse: "refuse", Hold: "hold"}
-
 // Actions.
 const (
 	// Drop gives no answer.
@@ -121,6 +116,11 @@
 	timeDigits  = 2
 )
 
+var actions = [...]string{Drop: "drop", Forward: "forward", Refuse: "refuse", Hold: "hold"}
+
+// String returns the action in one word.
+func (a Action) String() string { return actions[a] }
+
 // New returns a core without routes and targets.
 func New(cfg Config) *Core {
 	return &Core{
@@ -230,7 +230,7 @@
 	return Verdict{Action: Refuse, Code: hscode.FlowNoService}
 }
 
-func (c *Core) open(now time.Time, p *Packet, r *heldRoute, key *hsflow.Key, hash uint64) Verdict {
+func (c *Core) open(now time.Time, p *Packet, r *knownRoute, key *hsflow.Key, hash uint64) Verdict {
 	if r == nil || !r.until.IsZero() {
 		if c.routes.version == 0 {
 			return Verdict{Code: hscode.FlowNoService}
--- a/internal/hscookie/core_test.go
+++ b/internal/hscookie/core_test.go
@@ -182,7 +182,7 @@
 func TestSplitRoute(t *testing.T) {
 	split := route(desk, "desk")
 	split.Shares = []hsfeed.Share{{Service: "desk", Weight: 9}, {Service: "vault", Weight: 1}}
-	r := heldRoute{Route: split}
+	r := knownRoute{Route: split}
 	counts := map[string]int{}
 	for hash := range uint64(1000) {
 		counts[r.service(hash)]++
@@ -292,3 +292,48 @@
 		assert.Equal(t, v.Action, Forward)
 	}
 }
+
+// TestHeldCopyInTime checks that a copy which can still meet its objective does
+// not place a flow whose first packet is held: the flow would be placed twice.
+func TestHeldCopyInTime(t *testing.T) {
+	c := fullCore(t)
+	r := route(desk, "desk")
+	r.Aim = 5 * time.Second
+	c.SetConfiguration(epoch, &hsfeed.Configuration{Version: 3, Routes: []hsfeed.Route{r}})
+	assert.Equal(t, c.Packet(epoch, openPacket(from(100), desk)).Action, Hold)
+	now := epoch.Add(200 * time.Millisecond)
+	for port := uint16(1); port <= 8; port++ {
+		finish(c, now, port)
+	}
+	second := openPacket(from(100), desk)
+	second.Copies = 1
+	placed := 0
+	if c.Packet(now, second).Action == Forward {
+		placed++
+	}
+	for _, v, ok := c.Release(now); ok; _, v, ok = c.Release(now) {
+		if v.Action == Forward {
+			placed++
+		}
+	}
+	assert.Equal(t, placed, 1)
+}
+
+// TestHeldRouteChanges checks that a held packet follows the configuration that
+// is in force when it is released.
+func TestHeldRouteChanges(t *testing.T) {
+	c := fullCore(t)
+	c.SetTargets(epoch, []hsfeed.Entry{target(1, "desk"), target(3, "vault")})
+	assert.Equal(t, c.Packet(epoch, openPacket(from(100), desk)).Action, Hold)
+	c.SetConfiguration(epoch, &hsfeed.Configuration{Version: 3, Routes: []hsfeed.Route{route(desk, "vault", "desk")}})
+	_, v, ok := c.Release(epoch)
+	assert.Assert(t, ok)
+	assert.Equal(t, v.Target, hsfeed.TargetID(3))
+	c = fullCore(t)
+	assert.Equal(t, c.Packet(epoch, openPacket(from(100), desk)).Action, Hold)
+	c.SetConfiguration(epoch, &hsfeed.Configuration{Version: 3, Routes: []hsfeed.Route{route(vault, "vault")}})
+	_, v, ok = c.Release(epoch)
+	assert.Assert(t, ok)
+	assert.Equal(t, v.Action, Refuse)
+	assert.Equal(t, v.Code, hscode.FlowNoService)
+}
--- a/internal/hscookie/view.go
+++ b/internal/hscookie/view.go
@@ -13,10 +13,10 @@
 	// dropped lately.
 	routes struct {
 		version uint64
-		byPlace map[netip.AddrPort]*heldRoute
+		byPlace map[netip.AddrPort]*knownRoute
 	}
 
-	heldRoute struct {
+	knownRoute struct {
 		hsfeed.Route
 		// Zero while the route is in force, else the time until which open
 		// flows of it go on.
@@ -44,9 +44,9 @@
 // setConfiguration replaces the routes. Dropped ones stay for as long as a
 // request of theirs may take, so that one under way is not broken off.
 func (r *routes) setConfiguration(now time.Time, c *hsfeed.Configuration) {
-	next := make(map[netip.AddrPort]*heldRoute, len(c.Routes))
+	next := make(map[netip.AddrPort]*knownRoute, len(c.Routes))
 	for i := range c.Routes {
-		next[c.Routes[i].At] = &heldRoute{Route: c.Routes[i]}
+		next[c.Routes[i].At] = &knownRoute{Route: c.Routes[i]}
 	}
 	for at, old := range r.byPlace {
 		if next[at] != nil {
@@ -97,7 +97,7 @@
 
 // find returns the target that a cookie names on a route, or nil if there is
 // none or if it could be several.
-func (t *targets) find(r *heldRoute, c Cookie) *destination {
+func (t *targets) find(r *knownRoute, c Cookie) *destination {
 	var found *destination
 	for _, d := range t.byCookie[c] {
 		if !r.had(d.service) {
@@ -112,7 +112,7 @@
 }
 
 // had reports whether the route leads or led to a service.
-func (r *heldRoute) had(service string) bool {
+func (r *knownRoute) had(service string) bool {
 	for i := range r.Shares {
 		if r.Shares[i].Service == service {
 			return true
@@ -123,7 +123,7 @@
 
 // service returns the service that takes a new flow. All hosts choose the same
 // for one flow.
-func (r *heldRoute) service(hash uint64) string {
+func (r *knownRoute) service(hash uint64) string {
 	if len(r.Shares) == 1 {
 		return r.Shares[0].Service
 	}
--- a/internal/hsdirect/metrics.go
+++ b/internal/hsdirect/metrics.go
@@ -13,6 +13,12 @@
 	"heatherstack.org/heatherstack/internal/hstask"
 )
 
+// metric is one line of the page.
+type metric struct {
+	name  string
+	value string
+}
+
 const (
 	metricsPath   = "/metrics"
 	statusTimeout = time.Second
@@ -37,11 +43,6 @@
 	}
 }
 
-type metric struct {
-	name  string
-	value string
-}
-
 func metrics(d *DataStatus, c *ControlStatus) []metric {
 	s := &d.Stats
 	out := []metric{
