--- a/internal/hshttp/hshttp.go
+++ b/internal/hshttp/hshttp.go
@@ -13,13 +13,18 @@
 	"golang.org/x/sync/errgroup"
 )
 
-// headerTimeout bounds the time in which a client has to send the head of its
-// request, so that slow clients hold no connections.
-const headerTimeout = 5 * time.Second
+const (
+	// headerTimeout bounds the time in which a client has to send the head of
+	// its request, so that slow clients hold no connections.
+	headerTimeout = 5 * time.Second
+	// idleTimeout bounds the time for which a connection without requests is
+	// kept: clients that lost power do not close theirs.
+	idleTimeout = 30 * time.Second
+)
 
 // Serve answers HTTP on l until ctx ends.
 func Serve(ctx context.Context, l net.Listener, h http.Handler) error {
-	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error {
 		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
