List the store anew when others hear of a change and the reader does not

Cause: a store that turns a host away in silence was noticed after up to 2.7 s, and only then did another host of the zone read; other zones' readers bridged it.

Change: a reader that members told of a change, and that has not heard of it from the store for 0.3 s, gives its call up, lists anew, and lets another host of its zone read until it is answered.

--- a/internal/hsdirect/control.go
+++ b/internal/hsdirect/control.go
@@ -192,8 +192,8 @@
 			c.counts[hscode.PeerFetch]++
 		}
 	}
-	if out.Reader {
-		c.tellReader()
+	if out.Reader || out.Relist {
+		c.tellReader(out.Relist)
 	}
 	for _, code := range out.Codes {
 		c.counts[code]++
@@ -215,6 +215,9 @@
 	if out.TargetsChanged {
 		c.e.log(log.InfoLevel, hscode.OK).Uint64("revision", revision).Int("targets", len(out.Targets)).Msg("targets in force")
 	}
+	if out.Relist {
+		c.e.log(log.WarnLevel, hscode.PlatformRead).Uint64("revision", revision).Msg("others heard of a change and this host did not; listing the store anew")
+	}
 	if out.Reader {
 		c.e.log(log.InfoLevel, hscode.OK).Bool("reader", c.core.Reader()).Msg("role towards the store changed")
 	}
@@ -222,12 +225,13 @@
 
 // tellReader passes the role on. The channel holds one value; a newer one
 // replaces an unread one.
-func (c *controller) tellReader() {
+func (c *controller) tellReader(again bool) {
 	select {
-	case <-c.e.toReader:
+	case old := <-c.e.toReader:
+		again = again || old.again
 	default:
 	}
-	c.e.toReader <- c.core.Reader()
+	c.e.toReader <- readerMessage{read: c.core.Reader(), again: again}
 }
 
 // sendAll sends heartbeats. A message that goes to several members is encoded
--- a/internal/hsdirect/core.go
+++ b/internal/hsdirect/core.go
@@ -68,6 +68,9 @@
 		TargetsChanged bool
 		// True if Core.Reader changed.
 		Reader bool
+		// True if the connection to the store is taken for dead: the reader task
+		// has to list anew.
+		Relist bool
 		// Nil if none arrived.
 		Report *Report
 		Codes  []hscode.Code
@@ -94,6 +97,9 @@
 		refused bool
 		leaving bool
 		fetched time.Time
+		// Time since which members know of changes that the store has not told
+		// this host, which reads it; zero if there are none.
+		behind time.Time
 		// Reports of loads to members of this zone and of others.
 		near turn
 		far  turn
@@ -116,6 +122,9 @@
 	silentAfter = 800 * time.Millisecond
 	// fetchInterval is the least time between two fetches.
 	fetchInterval = 100 * time.Millisecond
+	// behindTime is the time for which the store may tell this host of a change
+	// later than others: several times what a slow answer takes.
+	behindTime = 300 * time.Millisecond
 	// inlineSize is the size of an update, in bytes, up to which it is sent
 	// inside a heartbeat; a larger one would not fit into one packet.
 	inlineSize = 1100
@@ -183,10 +192,24 @@
 // Tick lets time pass.
 func (c *Core) Tick(now time.Time) Output {
 	c.apply(now, c.roster.Tick(now))
+	c.checkStore(now)
 	c.elect(now)
 	return c.take()
 }
 
+// checkStore takes the connection to the store for dead if others heard of a
+// change there and this host did not. Another host of the zone reads until the
+// store answers this one again.
+func (c *Core) checkStore(now time.Time) {
+	if !c.reader || c.refused || c.behind.IsZero() || now.Sub(c.behind) < behindTime {
+		return
+	}
+	c.behind = time.Time{}
+	c.out.Relist = true
+	c.refused = true
+	c.apply(now, c.roster.SetRefused(now, true))
+}
+
 // Leave starts the planned stop.
 func (c *Core) Leave(now time.Time) Output {
 	c.leaving = true
@@ -225,6 +248,7 @@
 // FromStore takes what this host read from the store.
 func (c *Core) FromStore(now time.Time, u *hsfeed.Update) Output {
 	since := c.keeper.Revision()
+	c.behind = time.Time{}
 	c.update(now, u)
 	if c.keeper.Revision() > since {
 		c.push(since)
@@ -234,10 +258,19 @@
 
 // FromPeer takes what a member answered to a fetch.
 func (c *Core) FromPeer(now time.Time, u *hsfeed.Update) Output {
-	c.update(now, u)
+	c.fromPeer(now, u)
 	return c.take()
 }
 
+func (c *Core) fromPeer(now time.Time, u *hsfeed.Update) hscode.Code {
+	before := c.keeper.Revision()
+	code := c.update(now, u)
+	if c.reader && before > 0 && c.keeper.Revision() > before && c.behind.IsZero() {
+		c.behind = now
+	}
+	return code
+}
+
 // Contact notes whether the store answers this host.
 func (c *Core) Contact(now time.Time, answers bool) Output {
 	c.refused = !answers
@@ -302,7 +335,7 @@
 		c.code(hscode.PeerMessage)
 		return
 	}
-	if code := c.update(now, &u); code == hscode.PeerGap {
+	if code := c.fromPeer(now, &u); code == hscode.PeerGap {
 		c.fetch(now, from)
 	}
 }
--- a/internal/hsdirect/core_test.go
+++ b/internal/hsdirect/core_test.go
@@ -116,6 +116,7 @@
 }
 
 func (w *world) carryOut(h *worldHost, out Output) {
+	h.noticed = h.noticed || out.Relist
 	if out.Report != nil {
 		h.reports[out.Report.Host] = out.Report.Loads
 		h.avoid = append(h.avoid, out.Report.Avoid...)
@@ -244,6 +245,27 @@
 	assert.Assert(t, w.current())
 }
 
+// TestSilentStore checks that a reader which hears of a change from others, and
+// not from the store, takes its connection for dead: another host of its zone
+// reads within a second of the change.
+func TestSilentStore(t *testing.T) {
+	w := newWorld(t, "a", "a", "b", "b")
+	w.runWithLoads(3 * time.Second)
+	h := w.reader("a")
+	h.served, h.noticed = false, false
+	w.publish()
+	w.runWithLoads(time.Second)
+	assert.Assert(t, h.noticed)
+	for _, other := range w.hosts {
+		if other != h && other.zone == "a" {
+			assert.Assert(t, other.core.Reader())
+		}
+	}
+	h.served = true
+	w.runWithLoads(time.Second)
+	assert.Equal(t, w.readers("a"), 1)
+}
+
 // TestZoneCut checks that a zone that is cut off from the others, but not from
 // the store, follows it, and that both sides agree after the cut.
 func TestZoneCut(t *testing.T) {
--- a/internal/hsdirect/entry.go
+++ b/internal/hsdirect/entry.go
@@ -102,7 +102,7 @@
 		// Messages to the tasks.
 		toData    chan dataMessage
 		toControl chan controlMessage
-		toReader  chan bool
+		toReader  chan readerMessage
 		toFetcher chan Fetch
 		// True while the host can place flows and no planned stop is under way.
 		ready   atomic.Bool
@@ -146,7 +146,7 @@
 		cfg:       cfg,
 		toData:    make(chan dataMessage, dataQueue),
 		toControl: make(chan controlMessage, controlQueue),
-		toReader:  make(chan bool, 1),
+		toReader:  make(chan readerMessage, 1),
 		toFetcher: make(chan Fetch, fetchQueue),
 		started:   time.Now(),
 	}
--- a/internal/hsdirect/reader.go
+++ b/internal/hsdirect/reader.go
@@ -14,15 +14,25 @@
 	"heatherstack.org/heatherstack/internal/hstask"
 )
 
-// storeReader is the state of the reader task.
-type storeReader struct {
-	e *Entry
-	// Revision up to which this task has seen everything; 0 if it has to list.
-	after   uint64
-	backoff time.Duration
-	// Whether the last call was answered.
-	answers bool
-}
+type (
+	// readerMessage tells the reader task whether to read, and whether to give
+	// up the call under way and list anew.
+	readerMessage struct {
+		read  bool
+		again bool
+	}
+
+	// storeReader is the state of the reader task.
+	storeReader struct {
+		e *Entry
+		// Revision up to which this task has seen everything; 0 if it has to
+		// list.
+		after   uint64
+		backoff time.Duration
+		// Whether the last call was answered, as told to control.
+		answers bool
+	}
+)
 
 const (
 	// watchWait is the time for which a watch waits. A watch whose connection
@@ -45,15 +55,16 @@
 			continue
 		}
 		select {
-		case active = <-e.toReader:
+		case m := <-e.toReader:
+			active = m.read
 		case <-ctx.Done():
 		}
 	}
 	return nil
 }
 
-// readWhileWanted reads until control says otherwise or ctx ends. A call under
-// way is given up then.
+// readWhileWanted reads until control says otherwise, or to begin anew, or ctx
+// ends. A call under way is given up then. It reports whether to go on.
 func (r *storeReader) readWhileWanted(ctx context.Context) bool {
 	g, reading := errgroup.WithContext(ctx)
 	reading, cancel := context.WithCancel(reading)
@@ -64,16 +75,21 @@
 		}
 		return nil
 	})
-	wanted := true
-	for wanted && ctx.Err() == nil {
+	wanted, again := true, false
+	for wanted && !again && ctx.Err() == nil {
 		select {
-		case wanted = <-r.e.toReader:
+		case m := <-r.e.toReader:
+			wanted, again = m.read, m.again
 		case <-ctx.Done():
 		}
 	}
 	cancel()
 	// The group's task returns no error.
 	_ = g.Wait()
+	if again {
+		// Control holds the store for silent until it is told otherwise.
+		r.answers = false
+	}
 	return wanted
 }
 
