--- a/internal/hsdirect/core.go
+++ b/internal/hsdirect/core.go
@@ -108,9 +108,11 @@
 )
 
 const (
-	// TickInterval is the time between ticks.
+	// TickInterval is the time between ticks: a fraction of each time limit below.
 	TickInterval = 100 * time.Millisecond
 
+	// probeInterval and suspectTime find a dead member within two seconds.
+	// Sooner is not needed: loads show within silentAfter that a reader is gone.
 	probeInterval = 500 * time.Millisecond
 	suspectTime   = 600 * time.Millisecond
 	// maxMembers bounds the members that are admitted without a host list:
--- a/internal/hsdirect/data.go
+++ b/internal/hsdirect/data.go
@@ -59,10 +59,14 @@
 )
 
 const (
+	// dataTick is the time between two ticks of the core: half of the time after
+	// which an opening packet counts as unanswered.
 	dataTick = 25 * time.Millisecond
 	// maxPacket is above the largest packet of a caller.
 	maxPacket = 2048
-	maxFlows  = 65536
+	// maxFlows bounds the flows that are counted: nine times a host's share at the
+	// size to grow to.
+	maxFlows = 65536
 )
 
 func (e *Entry) runData(ctx context.Context) error {
--- a/internal/hsdirect/entry.go
+++ b/internal/hsdirect/entry.go
@@ -126,6 +126,8 @@
 )
 
 const (
+	// Lengths of the queues between tasks: about a second of messages each, but
+	// for fetches, of which few are made.
 	dataQueue    = 256
 	controlQueue = 1024
 	fetchQueue   = 16
--- a/internal/hsdirect/reader.go
+++ b/internal/hsdirect/reader.go
@@ -38,7 +38,9 @@
 	// watchWait is the time for which a watch waits. A watch whose connection
 	// went silent is noticed after it, well inside the time in which a
 	// configuration has to be in force.
-	watchWait  = 2 * time.Second
+	watchWait = 2 * time.Second
+	// backoffMin is the pause after a first failure: many times what the store
+	// takes to answer.
 	backoffMin = 100 * time.Millisecond
 	// backoffMax bounds the time for which a store that has come back is not
 	// noticed.
