Drop opening packets that waited while the process was paused; soak of hsdirect

After 0.6 s the routers pass the caller's last copy to another host, which opens the flow at another target. When the paused host wakes it places the packets that waited on targets of its own; the second answer carries another cookie, the caller's next packets follow it, and that target resets the open flow.

Ruled out: packets held by the steering core (they expire), resets by hosts (the target sent them), targets that died (both lived).

hslab soak runs hsdirect processes with a stand-in of the store behind a proxy for each host, kills, pauses, stops and restarts processes, disturbs the store, drains, crashes, silences and replaces targets, publishes configurations, and checks from callers and targets that flows stay where they opened, that no packet reaches another service, that drains and configurations keep their bounds, that processes end only when told to, and that everything is served afterwards. platform/ has the stand-ins' formats.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 GEN_RPC  = connectrpc.com/connect/cmd/protoc-gen-connect-go@v1.21.1
 MODULE   = heatherstack.org/heatherstack
 
-.PHONY: help test build vet format lint fmt golden generate demo place bench faults fuzz matrix
+.PHONY: help test build vet format lint fmt golden generate demo place bench faults fuzz matrix soak
 
 help: ## list the commands
 	@grep -E '^[a-z]+:.*##' Makefile | sed 's/:.*##/\t/'
@@ -59,3 +59,6 @@
 
 matrix: ## run the fault matrix and all pairs with ten seeds a cell
 	go test -count=1 -timeout 30m ./internal/hsmatrix -run 'TestMatrix|TestPairs' -seeds 10
+
+soak: build ## run hsdirect processes under random faults, with ten seeds
+	bin/hslab soak --seeds 10
--- a/internal/hscode/hscode.go
+++ b/internal/hscode/hscode.go
@@ -152,7 +152,7 @@
 	{FlowTableFull, "flow-table-full", "The host holds as many flows as it may.", "Raise the flows setting or add entry hosts."},
 	{FlowLate, "flow-late", "A reply of an older connection of the same addresses was dropped.", "Nothing."},
 	{FlowForeign, "flow-foreign", "A target sent a packet for a service that it does not serve.", "Check the target's addresses."},
-	{FlowPaused, "flow-paused", "The process was paused and placed no new flow until its view was current.", "Find out what paused it."},
+	{FlowPaused, "flow-paused", "The process was paused; the opening packet had waited or the view was old, and no flow was placed.", "Find out what paused it."},
 	{FlowHeldFull, "flow-held-full", "Too many packets wait for recovery; one was dropped.", "Callers send it again; look for crashed entry hosts."},
 	{FlowTrialReset, "flow-trial-reset", "A reset that answered a trial was swallowed.", "Nothing."},
 	{FlowHops, "flow-hops", "A packet was forwarded too often.", "Compare versions in force on the hosts."},
--- a/internal/hscommand/commands.go
+++ b/internal/hscommand/commands.go
@@ -25,6 +25,7 @@
 		compare compareFlags
 		budget  budgetFlags
 		place   placeFlags
+		soak    soakFlags
 	}
 
 	placeFlags struct {
@@ -37,6 +38,19 @@
 		json    *bool
 	}
 
+	soakFlags struct {
+		command  *kingpin.CmdClause
+		seed     *uint64
+		seeds    *int
+		duration *time.Duration
+		hosts    *int
+		callers  *int
+		binary   *string
+		folder   *string
+		trace    *bool
+		net      *uint8
+	}
+
 	budgetFlags struct {
 		command  *kingpin.CmdClause
 		hosts    *[]int
@@ -114,6 +128,7 @@
 		outage:  p.Flag("outage", "Time in the middle for which no host runs; 0s for none.").Default("0s").Duration(),
 		json:    p.Flag("json", "Write one JSON object per policy.").Bool(),
 	}
+	c.soak = newSoakFlags(app)
 	m := app.Command("compare", "Compare ways to keep connections, with the same seed, changes and faults.")
 	c.compare = compareFlags{
 		command: m,
@@ -132,6 +147,8 @@
 		return c.runBudget(ctx)
 	case c.place.command.FullCommand():
 		return c.runPlace()
+	case c.soak.command.FullCommand():
+		return c.runSoak(ctx)
 	case c.compare.command.FullCommand():
 		return c.runCompare()
 	case c.relay.command.FullCommand():
--- /dev/null
+++ b/internal/hscommand/soak.go
@@ -0,0 +1,81 @@
+package hscommand
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"heatherstack.org/heatherstack/internal/hslab"
+	"heatherstack.org/heatherstack/internal/hssoak"
+	"heatherstack.org/heatherstack/platform"
+)
+
+// soakTargets is the number of targets in each zone of a soak: half of them of
+// each service, and more than may be in trouble at a time.
+const soakTargets = 4
+
+func newSoakFlags(app *kingpin.Application) soakFlags {
+	s := app.Command("soak", "Run hsdirect processes under random faults and check what callers and targets see.")
+	return soakFlags{
+		command:  s,
+		seed:     s.Flag("seed", "Seed of the first run.").Default("1").Uint64(),
+		seeds:    s.Flag("seeds", "Runs, each with the next seed.").Default("1").Int(),
+		duration: s.Flag("duration", "Time during which faults strike.").Default("30s").Duration(),
+		hosts:    s.Flag("hosts", "Entry hosts in each of three zones.").Default("2").Int(),
+		callers:  s.Flag("callers", "Callers, each with eight flows at a time.").Default("6").Int(),
+		binary:   s.Flag("binary", "Program of an entry host.").Default("bin/hsdirect").String(),
+		folder:   s.Flag("folder", "Folder for settings files and logs; a new one if empty.").String(),
+		trace:    s.Flag("trace", "Write a line for each fault to standard error.").Bool(),
+		net:      s.Flag("net", "Second byte of the loopback addresses in use; 0 takes it from the process id.").Default("0").Uint8(),
+	}
+}
+
+// runSoak runs all seeds and fails if one broke a promise.
+func (c *Commands) runSoak(ctx context.Context) int {
+	f := &c.soak
+	folder, err := soakFolder(*f.folder)
+	if err != nil {
+		_, _ = fmt.Fprintln(c.out, err)
+		return exitError
+	}
+	code := exitKept
+	for i := range *f.seeds {
+		seed := *f.seed + uint64(i)
+		rep, err := hssoak.Run(ctx, c.soakConfig(folder, seed))
+		if err != nil {
+			_, _ = fmt.Fprintln(c.out, err)
+			return exitError
+		}
+		_, _ = fmt.Fprintf(c.out, "seed %d  opened %d  answered %d  refused %d  unopened %d  starts %d  broken %d\n",
+			rep.Seed, rep.Opened, rep.Answered, rep.Refused, rep.Unopened, rep.Starts, len(rep.Broken))
+		for _, b := range rep.Broken {
+			_, _ = fmt.Fprintln(c.out, "  "+b)
+			code = exitBroken
+		}
+	}
+	return code
+}
+
+func (c *Commands) soakConfig(folder string, seed uint64) hssoak.Config {
+	f := &c.soak
+	cfg := hssoak.Config{
+		Format: platform.Format{}, Store: platform.NewStandIn(),
+		Binary: *f.binary, Folder: filepath.Join(folder, strconv.FormatUint(seed, 10)), Net: hslab.NetByte(*f.net), Seed: seed,
+		Duration: *f.duration, Hosts: *f.hosts, Targets: soakTargets, Callers: *f.callers, Recover: hssoak.RecoverBound,
+	}
+	if *f.trace {
+		cfg.Trace = os.Stderr
+	}
+	return cfg
+}
+
+func soakFolder(path string) (string, error) {
+	if path != "" {
+		return path, os.MkdirAll(path, 0o700)
+	}
+	return os.MkdirTemp("", "soak")
+}
--- a/internal/hscookie/admit.go
+++ b/internal/hscookie/admit.go
@@ -156,6 +156,12 @@
 	c.held.SetRate(c.rate, attemptTime-attemptMargin)
 }
 
+// DropHeld forgets all held packets. Their callers send copies.
+func (c *Core) DropHeld() {
+	c.Counts[hscode.FlowPaused] += uint64(c.held.Len())
+	c.held.Clear()
+}
+
 // expire forgets held packets whose callers have given up the attempt.
 func (c *Core) expire(now time.Time) {
 	for _, ok := c.held.Expire(now); ok; _, ok = c.held.Expire(now) {
--- a/internal/hscookie/core_test.go
+++ b/internal/hscookie/core_test.go
@@ -319,6 +319,18 @@
 	assert.Equal(t, placed, 1)
 }
 
+// TestDropHeld checks that nothing that waited is placed after a pause.
+func TestDropHeld(t *testing.T) {
+	c := fullCore(t)
+	assert.Equal(t, c.Packet(epoch, openPacket(from(100), desk)).Action, Hold)
+	c.DropHeld()
+	c.SetTargets(epoch, []hsfeed.Entry{target(1, "desk"), target(3, "desk")})
+	_, _, ok := c.Release(epoch)
+	assert.Assert(t, !ok)
+	assert.Equal(t, c.HeldPackets(), 0)
+	assert.Equal(t, c.Counts[hscode.FlowPaused], uint64(1))
+}
+
 // TestHeldRouteChanges checks that a held packet follows the configuration that
 // is in force when it is released.
 func TestHeldRouteChanges(t *testing.T) {
--- a/internal/hsdirect/core_test.go
+++ b/internal/hsdirect/core_test.go
@@ -209,19 +209,19 @@
 func TestReaderStays(t *testing.T) {
 	zones := make([]string, 0, 33)
 	for range 30 {
-		zones = append(zones, "a")
+		zones = append(zones, "big")
 	}
 	w := newWorld(t, append(zones, "b", "b", "c")...)
 	w.runWithLoads(6 * time.Second)
-	reader := w.reader("a")
+	reader := w.reader("big")
 	for range 100 {
 		w.runWithLoads(TickInterval)
-		assert.Equal(t, w.readers("a"), 1)
-		assert.Equal(t, w.reader("a"), reader)
+		assert.Equal(t, w.readers("big"), 1)
+		assert.Equal(t, w.reader("big"), reader)
 	}
 	reader.up = false
 	w.runWithLoads(3 * time.Second)
-	assert.Equal(t, w.readers("a"), 1)
+	assert.Equal(t, w.readers("big"), 1)
 }
 
 // TestReaderTrouble checks that another host of the zone reads within a second
--- a/internal/hsdirect/data.go
+++ b/internal/hsdirect/data.go
@@ -55,6 +55,9 @@
 		ejected []hsfeed.TargetID
 		counts  map[hscode.Code]uint64
 		rec     recorder
+		guard   pauseGuard
+		// True while what is read may have waited for the process.
+		waited bool
 	}
 )
 
@@ -104,10 +107,13 @@
 		n, _, err := conn.ReadFromUDPAddrPort(buf)
 		switch {
 		case err == nil:
-			d.packet(time.Now(), buf[:n])
+			now = time.Now()
+			d.notePause(now, false)
+			d.packet(now, buf[:n])
 		case errors.Is(err, net.ErrClosed):
 			return
 		case errors.Is(err, os.ErrDeadlineExceeded):
+			d.notePause(time.Now(), true)
 			d.arm()
 		default:
 			d.counts[hscode.ProcessSocket]++
@@ -115,6 +121,21 @@
 	}
 }
 
+// notePause notices a pause of the process. Opening packets that waited
+// meanwhile, in the socket or here, have been copied since, and other hosts may
+// have placed their flows on other targets: a second answer would lead the
+// callers' packets there.
+func (d *dataTask) notePause(now time.Time, empty bool) {
+	waited := d.guard.note(now, empty)
+	if waited && !d.waited {
+		d.e.log(log.WarnLevel, hscode.ProcessPaused).
+			Int("held", d.core.HeldPackets()).
+			Msg("process was paused; opening packets that waited are dropped")
+		d.core.DropHeld()
+	}
+	d.waited = waited
+}
+
 // arm sets the time by which the next read ends.
 func (d *dataTask) arm() {
 	if err := d.e.sockets.data.SetReadDeadline(time.Now().Add(dataTick)); err != nil {
@@ -183,6 +204,10 @@
 		return
 	}
 	d.e.traffic.Store(int64(now.Sub(d.e.started)))
+	if d.waited && d.pkt.Has(hscookie.Open) {
+		d.counts[hscode.FlowPaused]++
+		return
+	}
 	d.pkt.Raw = data
 	v := d.core.Packet(now, &d.pkt)
 	d.carryOut(now, &d.pkt, &v)
--- a/internal/hsqueue/queue.go
+++ b/internal/hsqueue/queue.go
@@ -52,6 +52,12 @@
 // Len returns the number of items held.
 func (q *Queue[T]) Len() int { return len(q.items) }
 
+// Clear removes all items.
+func (q *Queue[T]) Clear() {
+	clear(q.items)
+	q.items = q.items[:0]
+}
+
 // SetRate takes the number of items that are released in a second. Of more than
 // are released before callers give up, some would wait in vain; the limit falls
 // to that number.
--- /dev/null
+++ b/internal/hssoak/soak.go
@@ -0,0 +1,239 @@
+// Package hssoak runs real hsdirect processes on loopback, injects faults from
+// outside them, and checks what callers and targets see while it runs: processes
+// are killed, paused, stopped and restarted by signals, the store is cut off,
+// slowed down and emptied of its history by a proxy, targets drain, crash and
+// give their addresses away, and configurations follow on one another.
+package hssoak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"golang.org/x/sync/errgroup"
+
+	"heatherstack.org/heatherstack/internal/hscode"
+	"heatherstack.org/heatherstack/internal/hscookie"
+	"heatherstack.org/heatherstack/internal/hsdirect"
+	"heatherstack.org/heatherstack/internal/hsfeed"
+	"heatherstack.org/heatherstack/internal/hshttp"
+	"heatherstack.org/heatherstack/internal/hstask"
+)
+
+type (
+	// Format writes and reads what the deployment's callers, targets and store
+	// send.
+	Format interface {
+		SettingsVariable() string
+		Settings(s *hsdirect.Settings) []byte
+		ReadyPath() string
+		Decode(data []byte, p *hscookie.Packet) hscode.Code
+		DecodeAtTarget(data []byte, p *hscookie.Packet) (hsfeed.TargetID, hscode.Code)
+		AppendPacket(dst []byte, p *hscookie.Packet, data []byte) []byte
+	}
+
+	// Store is a stand-in for the metadata store.
+	Store interface {
+		http.Handler
+		Publish(ev *hsfeed.Event) uint64
+		Forget()
+	}
+
+	// Config describes a run.
+	Config struct {
+		Format Format
+		Store  Store
+		// Program of an entry host.
+		Binary string
+		// Folder for settings files and logs.
+		Folder string
+		// Second byte of the loopback addresses in use.
+		Net  byte
+		Seed uint64
+		// Time during which faults strike.
+		Duration time.Duration
+		// Entry hosts and targets in each of three zones.
+		Hosts   int
+		Targets int
+		Callers int
+		// Time after the last fault in which everything has to recover.
+		Recover time.Duration
+		// Added to the bounds of drains and configurations, for machines that
+		// are busy with other work.
+		Slack time.Duration
+		// One line for each fault; nil for none.
+		Trace io.Writer
+	}
+
+	// soak is the state of a run.
+	soak struct {
+		cfg    Config
+		ledger *ledger
+		g      *errgroup.Group
+
+		mu      sync.Mutex
+		rng     *rand.Rand
+		hosts   []*host
+		targets []*target
+		callers []*caller
+		// Identity and last byte of the address of the next target.
+		nextID   hsfeed.TargetID
+		nextAddr byte
+		version  uint64
+	}
+)
+
+const (
+	zoneCount = 3
+	dataPort  = 8172
+	readyPort = 8167
+	peerPort  = 7720
+	storePort = 8169
+	// settleTime is the time in which processes start and find one another.
+	settleTime = 2 * time.Second
+	// checkTime is the time after the recovery in which every flow has to open.
+	checkTime = 3 * time.Second
+	// faultMin and faultMax bound the time between the starts of two faults.
+	faultMin = 200 * time.Millisecond
+	faultMax = 1200 * time.Millisecond
+)
+
+// Run runs a soak and returns what was seen. An error means that the run itself
+// failed.
+func Run(ctx context.Context, cfg Config) (*Report, error) {
+	hard, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s := &soak{cfg: cfg, ledger: newLedger(cfg.Slack), rng: rand.New(rand.NewPCG(cfg.Seed, 1))}
+	s.g, hard = errgroup.WithContext(hard)
+	if err := os.MkdirAll(cfg.Folder, 0o700); err != nil {
+		return nil, errors.Trace(err)
+	}
+	if err := s.begin(hard); err != nil {
+		cancel()
+		s.killAll()
+		return nil, errors.Trace(err)
+	}
+	s.strike(hard)
+	s.finish(hard)
+	cancel()
+	s.killAll()
+	if err := s.g.Wait(); err != nil && !errors.Is(err, context.Canceled) {
+		return nil, errors.Trace(err)
+	}
+	return s.ledger.report(cfg.Seed), nil
+}
+
+// begin starts the store, targets, entry hosts and callers.
+func (s *soak) begin(ctx context.Context) error {
+	l, err := hstask.ListenTCP(netip.AddrPortFrom(s.addr(4, 1), storePort))
+	if err != nil {
+		return errors.Trace(err)
+	}
+	s.g.Go(func() error { return hshttp.Serve(ctx, l, s.cfg.Store) })
+	for i := range zoneCount * s.cfg.Targets {
+		if err := s.addTarget(ctx, services[i%len(services)], zoneName(i%zoneCount), s.newAddr()); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	s.publishConfiguration()
+	for i := range zoneCount * s.cfg.Hosts {
+		h, err := s.newHost(ctx, i)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		s.hosts = append(s.hosts, h)
+	}
+	for _, h := range s.hosts {
+		if err := h.start(); err != nil {
+			return errors.Trace(err)
+		}
+		s.g.Go(func() error { return h.probe(ctx) })
+	}
+	for i := range s.cfg.Callers {
+		if err := s.addCaller(ctx, i); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	hstask.Sleep(ctx, settleTime)
+	return errors.Trace(ctx.Err())
+}
+
+// strike starts faults, which overlap, until the time is over, and waits for the
+// last of them.
+func (s *soak) strike(ctx context.Context) {
+	var running errgroup.Group
+	for end := time.Now().Add(s.cfg.Duration); time.Now().Before(end) && ctx.Err() == nil; {
+		f := faults[s.intN(len(faults))]
+		rng := rand.New(rand.NewPCG(s.cfg.Seed, s.uint64()))
+		pause := between(rng, faultMin, faultMax)
+		s.trace("%s", f.name)
+		running.Go(func() error {
+			f.run(ctx, s, rng)
+			return nil
+		})
+		hstask.Sleep(ctx, pause)
+	}
+	// Faults return no error.
+	_ = running.Wait()
+}
+
+// finish checks that everything is served again and that all processes stop when
+// they are told to.
+func (s *soak) finish(ctx context.Context) {
+	hstask.Sleep(ctx, s.cfg.Recover)
+	s.ledger.setRecovered()
+	hstask.Sleep(ctx, checkTime)
+	s.ledger.checkRecovered()
+	var stops errgroup.Group
+	for _, h := range s.hosts {
+		stops.Go(func() error {
+			h.terminate(ctx)
+			return nil
+		})
+	}
+	// What a stop did wrong stands in the ledger.
+	_ = stops.Wait()
+}
+
+func (s *soak) killAll() {
+	for _, h := range s.hosts {
+		h.kill()
+	}
+}
+
+func (s *soak) trace(what string, args ...any) {
+	if s.cfg.Trace != nil {
+		// The trace is a help for people; a run does not fail for it.
+		_, _ = fmt.Fprintf(s.cfg.Trace, "%8.3f %s\n", time.Since(s.ledger.started).Seconds(), fmt.Sprintf(what, args...))
+	}
+}
+
+// addr returns a loopback address; kinds of ends have a byte of their own.
+func (s *soak) addr(kind, n byte) netip.Addr {
+	return netip.AddrFrom4([4]byte{127, s.cfg.Net, kind, n})
+}
+
+func (s *soak) intN(n int) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rng.IntN(n)
+}
+
+func (s *soak) uint64() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rng.Uint64()
+}
+
+func zoneName(i int) string { return string(rune('a' + i)) }
+
+func between(rng *rand.Rand, least, most time.Duration) time.Duration {
+	return least + time.Duration(rng.Int64N(int64(most-least)))
+}
--- /dev/null
+++ b/internal/hssoak/soak_test.go
@@ -0,0 +1,42 @@
+package hssoak_test
+
+import (
+	"flag"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"heatherstack.org/heatherstack/internal/hssoak"
+	"heatherstack.org/heatherstack/platform"
+)
+
+var (
+	seed     = flag.Uint64("soakseed", 1, "seed of the soak")
+	duration = flag.Duration("soaktime", 6*time.Second, "time during which faults strike")
+)
+
+// busySlack keeps the bounds of the short run apart from what a busy machine
+// adds, so that it comes to the same verdict there.
+const busySlack = 30 * time.Second
+
+// TestSoak runs real processes under a few seconds of faults.
+func TestSoak(t *testing.T) {
+	folder := t.TempDir()
+	binary := filepath.Join(folder, "hsdirect")
+	build := exec.Command("go", "build", "-o", binary, "../../cmd/hsdirect")
+	build.Stderr = os.Stderr
+	assert.NilError(t, build.Run())
+	rep, err := hssoak.Run(t.Context(), hssoak.Config{
+		Format: platform.Format{}, Store: platform.NewStandIn(),
+		Binary: binary, Folder: folder, Net: byte(os.Getpid()%200 + 20), Seed: *seed, Duration: *duration,
+		Hosts: 2, Targets: 4, Callers: 6, Recover: 4 * time.Second, Slack: busySlack, Trace: os.Stderr,
+	})
+	assert.NilError(t, err)
+	t.Logf("%+v", *rep)
+	assert.Equal(t, len(rep.Broken), 0, "%v", rep.Broken)
+	assert.Assert(t, rep.Opened > 0 && rep.Answered > 0)
+}
--- /dev/null
+++ b/internal/hssoak/target.go
@@ -0,0 +1,203 @@
+package hssoak
+
+import (
+	"context"
+	"encoding/binary"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"heatherstack.org/heatherstack/internal/hscode"
+	"heatherstack.org/heatherstack/internal/hscookie"
+	"heatherstack.org/heatherstack/internal/hsfeed"
+	"heatherstack.org/heatherstack/internal/hstask"
+)
+
+type (
+	// target is one incarnation of a server that answers callers directly.
+	target struct {
+		s     *soak
+		entry hsfeed.Target
+		conn  *net.UDPConn
+		// Held by the fault that has the target in its hands.
+		busy sync.Mutex
+
+		mu sync.Mutex
+		// True while the target answers nothing.
+		dark bool
+		// Sequence number that the caller has to acknowledge, by caller.
+		flows map[netip.AddrPort]uint32
+	}
+
+	// datagram is a packet of a target's, and where it goes.
+	datagram struct {
+		to   netip.Addr
+		head hscookie.Packet
+		data []byte
+	}
+)
+
+const (
+	targetPort = 8080
+	// targetSlots is far above the flows at work, so that no refusal is due to
+	// load.
+	targetSlots = 1000
+	packetLimit = 2048
+)
+
+var services = []string{"desk", "vault"}
+
+// newAddr returns an address that no target had.
+func (s *soak) newAddr() netip.Addr {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nextAddr++
+	return s.addr(1, s.nextAddr)
+}
+
+// addTarget starts a target and announces it.
+func (s *soak) addTarget(ctx context.Context, service, zone string, at netip.Addr) error {
+	conn, err := hstask.ListenUDP(netip.AddrPortFrom(at, targetPort))
+	if err != nil {
+		return errors.Trace(err)
+	}
+	s.mu.Lock()
+	s.nextID++
+	t := &target{s: s, conn: conn, flows: map[netip.AddrPort]uint32{}, entry: hsfeed.Target{
+		ID: s.nextID, Service: service, Zone: zone, Address: netip.AddrPortFrom(at, targetPort),
+		Slots: targetSlots, Born: time.Now().UnixMilli(),
+	}}
+	s.targets = append(s.targets, t)
+	s.mu.Unlock()
+	s.ledger.addTarget(t.entry.ID, service)
+	s.g.Go(func() error { return t.run(ctx) })
+	t.publish()
+	return nil
+}
+
+// publish writes the target's entry as it is now.
+func (t *target) publish() {
+	entry := t.entry
+	t.s.cfg.Store.Publish(&hsfeed.Event{Target: &entry})
+}
+
+// remove removes the target's entry.
+func (t *target) remove() {
+	t.s.cfg.Store.Publish(&hsfeed.Event{Gone: t.entry.ID})
+	t.s.ledger.endTarget(t.entry.ID, time.Now())
+}
+
+// end closes the target's socket; its flows are lost.
+func (t *target) end() {
+	t.s.ledger.killTarget(t.entry.ID)
+	_ = t.conn.Close()
+	t.s.mu.Lock()
+	defer t.s.mu.Unlock()
+	for i, o := range t.s.targets {
+		if o == t {
+			t.s.targets = append(t.s.targets[:i], t.s.targets[i+1:]...)
+			return
+		}
+	}
+}
+
+func (t *target) setDark(dark bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.dark = dark
+}
+
+// run takes packets until the socket is closed.
+func (t *target) run(ctx context.Context) error {
+	t.s.g.Go(func() error {
+		<-ctx.Done()
+		// It may be closed already.
+		_ = t.conn.Close()
+		return nil
+	})
+	buf := make([]byte, packetLimit)
+	for {
+		n, via, err := t.conn.ReadFromUDPAddrPort(buf)
+		if errors.Is(err, net.ErrClosed) || ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return errors.Trace(err)
+		}
+		if out := t.take(buf[:n], via.Addr()); out != nil {
+			t.send(out)
+		}
+	}
+}
+
+// take returns the answer to a packet, or nil.
+func (t *target) take(raw []byte, via netip.Addr) *datagram {
+	var p hscookie.Packet
+	id, code := t.s.cfg.Format.DecodeAtTarget(raw, &p)
+	if code != hscode.OK {
+		t.s.ledger.fail("target %x got a packet that cannot be read: %s", uint64(t.entry.ID), code)
+		return nil
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.dark || id != t.entry.ID {
+		return nil
+	}
+	data := raw[len(raw)-p.Size:]
+	if !t.s.sentBy(&p, data) {
+		t.s.ledger.fail("target %x got a packet of %s that was not sent so", uint64(id), p.From)
+		return nil
+	}
+	out := &datagram{to: p.From.Addr(), head: hscookie.Packet{From: p.To, To: p.From, Cookie: p.Cookie, Flags: hscookie.Ack}}
+	seq, held := t.flows[p.From]
+	switch {
+	case p.Has(hscookie.Open):
+		t.opening(&p, data, via, out)
+	case !held || p.Ack != seq+1:
+		t.s.ledger.tookForeign(id, p.From)
+		out.head.Flags = hscookie.Reset
+	case p.Has(hscookie.Fin | hscookie.Reset):
+		delete(t.flows, p.From)
+		return nil
+	default:
+		out.head.Ack = p.Seq
+		out.data = data
+	}
+	return out
+}
+
+// opening takes an opening packet. The answer names the target.
+func (t *target) opening(p *hscookie.Packet, data []byte, via netip.Addr, out *datagram) {
+	sent := time.UnixMicro(int64(binary.BigEndian.Uint64(data)))
+	t.s.ledger.tookOpening(t.entry.ID, p.From, p.To, sent, t.s.inTouch(via))
+	seq, held := t.flows[p.From]
+	if !held {
+		seq = uint32(t.s.uint64())
+		t.flows[p.From] = seq
+	}
+	out.head.Flags |= hscookie.Open
+	out.head.Seq = seq
+	out.data = binary.BigEndian.AppendUint64(nil, uint64(t.entry.ID))
+}
+
+func (t *target) send(d *datagram) {
+	raw := t.s.cfg.Format.AppendPacket(nil, &d.head, d.data)
+	// A datagram that is lost is sent again by whoever misses it.
+	_, _ = t.conn.WriteToUDPAddrPort(raw, netip.AddrPortFrom(d.to, dataPort))
+}
+
+// inTouch reports whether bounds hold for the host at an address: nothing was
+// done to its process lately, and the store answers it or some other host that
+// nothing was done to.
+func (s *soak) inTouch(at netip.Addr) bool {
+	served, found := false, false
+	for _, h := range s.hosts {
+		calm := h.calm()
+		served = served || (calm && h.proxy.calm())
+		found = found || (calm && h.settings.Data.Addr() == at)
+	}
+	return served && found
+}
