--- /dev/null
+++ b/internal/hsctl/trace.go
@@ -0,0 +1,199 @@
+package hsctl
+
+import (
+	"bufio"
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"heatherstack.org/heatherstack/internal/hscode"
+)
+
+type (
+	// traceFlags say which log lines are wanted. Zero values want all.
+	traceFlags struct {
+		files []string
+		flow  string
+		// Decimal or, after 0x, hexadecimal.
+		target string
+		codes  []int
+		from   string
+		to     string
+		asJSON bool
+	}
+
+	// filter is what traceFlags mean.
+	filter struct {
+		flow   string
+		target uint64
+		codes  []int
+		from   time.Time
+		to     time.Time
+	}
+
+	// line is one log line of an entry host.
+	line struct {
+		Time    time.Time   `json:"time"`
+		Host    string      `json:"host"`
+		Code    hscode.Code `json:"code"`
+		Flow    string      `json:"flow"`
+		Target  uint64      `json:"target"`
+		Message string      `json:"message"`
+		fields  map[string]json.RawMessage
+		raw     string
+	}
+)
+
+// maxLine is above the longest log line, in bytes.
+const maxLine = 1 << 20
+
+// known are the fields that have a column of their own.
+var known = []string{"time", "level", "host", "boot", "code", "message"}
+
+// runTrace joins log lines of several hosts into one timeline. Lines that are
+// not JSON are counted and passed over.
+func runTrace(f *traceFlags, stdout, stderr io.Writer) int {
+	want, err := f.filter()
+	if err != nil {
+		_, _ = fmt.Fprintln(stderr, "hsctl:", err)
+		return exitUsage
+	}
+	var lines []line
+	unread := 0
+	for _, name := range f.files {
+		got, bad, err := readLog(name, want)
+		if err != nil {
+			_, _ = fmt.Fprintln(stderr, "hsctl:", err)
+			return exitUsage
+		}
+		lines = append(lines, got...)
+		unread += bad
+	}
+	slices.SortStableFunc(lines, func(a, b line) int {
+		return cmp.Or(a.Time.Compare(b.Time), cmp.Compare(a.Host, b.Host))
+	})
+	for i := range lines {
+		lines[i].write(stdout, f.asJSON)
+	}
+	if unread > 0 {
+		_, _ = fmt.Fprintf(stderr, "hsctl: %d lines are not log lines\n", unread)
+	}
+	if len(lines) == 0 {
+		return exitFaults
+	}
+	return exitOK
+}
+
+func (f *traceFlags) filter() (*filter, error) {
+	w := &filter{flow: f.flow, codes: f.codes}
+	var err error
+	if f.target != "" {
+		if w.target, err = strconv.ParseUint(f.target, 0, 64); err != nil {
+			return nil, errors.Errorf("--target %q is not a number", f.target)
+		}
+	}
+	if w.from, err = parseTime(f.from); err != nil {
+		return nil, errors.Trace(err)
+	}
+	w.to, err = parseTime(f.to)
+	return w, errors.Trace(err)
+}
+
+func parseTime(text string) (time.Time, error) {
+	if text == "" {
+		return time.Time{}, nil
+	}
+	t, err := time.Parse(time.RFC3339Nano, text)
+	if err != nil {
+		return time.Time{}, errors.Errorf("%q is not a time such as 2026-01-31T08:15:00.25Z", text)
+	}
+	return t, nil
+}
+
+// readLog returns the wanted lines of a file and the number of lines that are no
+// log lines.
+func readLog(name string, want *filter) (lines []line, bad int, err error) {
+	r := io.Reader(os.Stdin)
+	if name != "-" {
+		file, err := os.Open(name)
+		if err != nil {
+			return nil, 0, errors.Trace(err)
+		}
+		// Nothing was written to it.
+		defer func() { _ = file.Close() }()
+		r = file
+	}
+	s := bufio.NewScanner(r)
+	s.Buffer(nil, maxLine)
+	for s.Scan() {
+		l, ok := parseLine(s.Text())
+		switch {
+		case !ok:
+			bad++
+		case want.takes(&l):
+			lines = append(lines, l)
+		}
+	}
+	return lines, bad, errors.Annotate(s.Err(), name)
+}
+
+// parseLine reads a log line; what a collector wrote in front of it is passed
+// over.
+func parseLine(text string) (line, bool) {
+	at := strings.IndexByte(text, '{')
+	if at < 0 {
+		return line{}, false
+	}
+	l := line{raw: text[at:]}
+	if json.Unmarshal([]byte(l.raw), &l) != nil || l.Time.IsZero() {
+		return line{}, false
+	}
+	return l, json.Unmarshal([]byte(l.raw), &l.fields) == nil
+}
+
+// takes reports whether a line is wanted. A flow is named by the caller's
+// address, with the port and the called address or without.
+func (w *filter) takes(l *line) bool {
+	switch {
+	case w.flow != "" && !strings.HasPrefix(l.Flow, w.flow):
+		return false
+	case w.target != 0 && l.Target != w.target:
+		return false
+	case len(w.codes) > 0 && !slices.Contains(w.codes, int(l.Code)):
+		return false
+	case !w.from.IsZero() && l.Time.Before(w.from):
+		return false
+	default:
+		return w.to.IsZero() || !l.Time.After(w.to)
+	}
+}
+
+// write writes a line for people, with the fields in the order of their names,
+// or as it was.
+func (l *line) write(w io.Writer, asJSON bool) {
+	if asJSON {
+		_, _ = fmt.Fprintln(w, l.raw)
+		return
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s %-16s %s: %s", l.Time.UTC().Format("15:04:05.000"), l.Host, l.Code, l.Message)
+	names := make([]string, 0, len(l.fields))
+	for name := range l.fields {
+		if !slices.Contains(known, name) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		fmt.Fprintf(&b, " %s=%s", name, strings.Trim(string(l.fields[name]), `"`))
+	}
+	_, _ = fmt.Fprintln(w, b.String())
+}
