--- a/internal/hsdirect/core.go
+++ b/internal/hsdirect/core.go
@@ -1,9 +1,7 @@
 package hsdirect
 
 import (
-	"cmp"
 	"net/netip"
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -11,7 +9,6 @@
 
 	"heatherstack.org/heatherstack/internal/hscode"
 	"heatherstack.org/heatherstack/internal/hsfeed"
-	"heatherstack.org/heatherstack/internal/hsplace"
 	"heatherstack.org/heatherstack/internal/hsroster"
 	"heatherstack.org/heatherstack/internal/hsschema"
 )
@@ -40,23 +37,6 @@
 		Since uint64
 	}
 
-	// Report is what another host has open, and the targets that it leaves out
-	// if it is of the same zone.
-	Report struct {
-		Host  string
-		Loads []hsplace.Load
-		Avoid []hsfeed.TargetID
-	}
-
-	// Loads is what this host has open and leaves out.
-	Loads struct {
-		Flows   []hsplace.Load
-		Ejected []hsfeed.TargetID
-		// True if the targets left out changed, so that this zone's members are
-		// told at once.
-		News bool
-	}
-
 	// Output is what one step wants done.
 	Output struct {
 		Sends   []Send
@@ -76,14 +56,6 @@
 		Codes  []hscode.Code
 	}
 
-	// turn is the state of reports to one group of members.
-	turn struct {
-		// Time of the last report.
-		at time.Time
-		// Number of reports so far; says whose turn it is.
-		n int
-	}
-
 	// Core joins membership and published state: it decides whether this host
 	// reads the store, tells members what changed and asks those that know
 	// more. It does no I/O, reads no clock, and is not safe for concurrent use.
@@ -118,34 +90,11 @@
 	// maxMembers bounds the members that are admitted without a host list:
 	// several times the hosts of a large region.
 	maxMembers = 4096
-	// silentAfter is the time without a message after which a member of a small
-	// zone no longer keeps this host from reading the store. Its members hear
-	// one another's loads several times in it.
-	silentAfter = 800 * time.Millisecond
-	// silentTurns is the same for a large zone, in turns of the reports: one
-	// report may be lost.
-	silentTurns = 2
 	// fetchInterval is the least time between two fetches.
 	fetchInterval = 100 * time.Millisecond
-	// behindTime is the time for which the store may tell this host of a change
-	// later than others: several times what a slow answer takes.
-	behindTime = 300 * time.Millisecond
 	// inlineSize is the size of an update, in bytes, up to which it is sent
 	// inside a heartbeat; a larger one would not fit into one packet.
 	inlineSize = 1100
-	// nearInterval and farInterval are the times between two reports of loads
-	// to members of this zone and of others. The model of a burst that is 2.4
-	// times the usual load needs the first; the second only guards against
-	// filling another zone's targets.
-	nearInterval = 200 * time.Millisecond
-	farInterval  = time.Second
-	// nearMost and farMost bound the members that get a report at a time. In a
-	// larger deployment they take turns, so that reports cost a host the same.
-	nearMost = 3
-	farMost  = 4
-	// loadsMost and ejectedMost bound the targets in a report.
-	loadsMost   = 12
-	ejectedMost = 32
 	// pushMost bounds the members outside the zone that a reader sends updates
 	// to, whose zones have readers of their own, and the members of the zone
 	// that are told at once of a target that does not answer.
@@ -202,19 +151,6 @@
 	return c.take()
 }
 
-// checkStore takes the connection to the store for dead if others heard of a
-// change there and this host did not. Another host of the zone reads until the
-// store answers this one again.
-func (c *Core) checkStore(now time.Time) {
-	if !c.reader || c.refused || c.behind.IsZero() || now.Sub(c.behind) < behindTime {
-		return
-	}
-	c.behind = time.Time{}
-	c.out.Relist = true
-	c.refused = true
-	c.apply(now, c.roster.SetRefused(now, true))
-}
-
 // Leave starts the planned stop.
 func (c *Core) Leave(now time.Time) Output {
 	c.leaving = true
@@ -283,56 +219,6 @@
 	return c.take()
 }
 
-// Loads takes this host's open flows and tells members of them.
-func (c *Core) Loads(now time.Time, loads *Loads) Output {
-	var near, far []string
-	for _, p := range c.roster.Peers() {
-		switch {
-		case !p.Alive:
-		case p.Zone == c.cfg.Zone:
-			near = append(near, p.Name)
-		default:
-			far = append(far, p.Name)
-		}
-	}
-	due := c.near.next(now, nearInterval, near, nearMost)
-	if loads.News {
-		due = near[:min(len(near), pushMost)]
-	}
-	due = append(due, c.far.next(now, farInterval, far, farMost)...)
-	if len(due) == 0 {
-		return c.take()
-	}
-	hb := c.roster.Message(hsschema.Heartbeat_KIND_LOADS)
-	flows := loads.Flows
-	slices.SortFunc(flows, func(a, b hsplace.Load) int { return cmp.Compare(b.Flows, a.Flows) })
-	for _, l := range flows[:min(len(flows), loadsMost)] {
-		hb.Loads = append(hb.Loads, &hsschema.Load{Target: uint64(l.Target), Flows: uint32(l.Flows)})
-	}
-	for _, id := range loads.Ejected[:min(len(loads.Ejected), ejectedMost)] {
-		hb.Ejected = append(hb.Ejected, uint64(id))
-	}
-	for _, name := range due {
-		c.send(name, hb)
-	}
-	return c.take()
-}
-
-// next returns the members whose turn it is, up to most of them, if an interval
-// has passed.
-func (t *turn) next(now time.Time, interval time.Duration, members []string, most int) []string {
-	if now.Sub(t.at) < interval || len(members) == 0 {
-		return nil
-	}
-	t.at = now
-	due := make([]string, 0, most)
-	for range min(most, len(members)) {
-		due = append(due, members[t.n%len(members)])
-		t.n++
-	}
-	return due
-}
-
 // pushed takes an update that a member sent without being asked.
 func (c *Core) pushed(now time.Time, hb *hsschema.Heartbeat, from netip.Addr) {
 	u, ok := hsfeed.Unpack(hb.GetUpdate())
@@ -385,41 +271,6 @@
 	}
 }
 
-// elect decides whether this host reads the store: the member of the zone with
-// the lowest hash does, among those that the store answers.
-func (c *Core) elect(now time.Time) {
-	near := c.nearPeers()
-	silent := silentTime(len(near))
-	reader := true
-	for _, p := range near {
-		able := !p.Refused && now.Sub(p.Heard) < silent
-		if able && (c.leaving || rank(p.Name) < rank(c.self)) {
-			reader = false
-			break
-		}
-	}
-	if reader == c.reader {
-		return
-	}
-	c.reader = reader
-	c.out.Reader = true
-	c.apply(now, c.roster.SetRefused(now, c.refused && reader))
-}
-
-// nearPeers returns the members of this zone that are alive.
-func (c *Core) nearPeers() []hsroster.Peer {
-	return slices.DeleteFunc(c.roster.Peers(), func(p hsroster.Peer) bool {
-		return !p.Alive || p.Zone != c.cfg.Zone
-	})
-}
-
-// silentTime returns the time without a message after which one of n members of
-// the zone no longer keeps this host from reading the store.
-func silentTime(n int) time.Duration {
-	turns := (n + nearMost - 1) / nearMost
-	return max(silentAfter, silentTurns*time.Duration(turns)*nearInterval)
-}
-
 // apply takes over what the roster decided.
 func (c *Core) apply(now time.Time, out hsroster.Output) {
 	for _, s := range out.Sends {
@@ -456,23 +307,3 @@
 	c.out = Output{}
 	return out
 }
-
-// rank orders the members of a zone by how soon they read the store.
-func rank(name string) uint64 { return xxhash.Sum64String("reader " + name) }
-
-func loadsOf(hb *hsschema.Heartbeat) []hsplace.Load {
-	out := make([]hsplace.Load, 0, len(hb.GetLoads()))
-	for _, l := range hb.GetLoads() {
-		out = append(out, hsplace.Load{Target: hsfeed.TargetID(l.GetTarget()), Flows: int(l.GetFlows())})
-	}
-	slices.SortFunc(out, func(a, b hsplace.Load) int { return cmp.Compare(a.Target, b.Target) })
-	return out
-}
-
-func ejectedOf(hb *hsschema.Heartbeat) []hsfeed.TargetID {
-	out := make([]hsfeed.TargetID, 0, len(hb.GetEjected()))
-	for _, id := range hb.GetEjected() {
-		out = append(out, hsfeed.TargetID(id))
-	}
-	return out
-}
