Let a host's word that a target does not answer hold until its next report

Hosts tell their zone which targets they leave out, but that word held for 0.45 s, while reports in a zone of 29 hosts take turns of 2 s, and news went to the first 16 members by name, always the same.

Change: the word holds for two turns of the reports, 0.45 to 1.6 s, and for up to half as much again, differently from host to host; news go to the members in turn.

--- a/internal/hscookie/core.go
+++ b/internal/hscookie/core.go
@@ -153,8 +153,11 @@
 	c.place.Report(now, host, loads)
 }
 
-// Avoid takes the targets that another host of this zone leaves out.
-func (c *Core) Avoid(now time.Time, ids []hsfeed.TargetID) { c.place.Avoid(now, ids) }
+// Avoid takes the targets that another host of this zone leaves out, and for how
+// long its word holds.
+func (c *Core) Avoid(now time.Time, ids []hsfeed.TargetID, d time.Duration) {
+	c.place.Avoid(now, ids, d)
+}
 
 // Ejected appends the targets that this host leaves out to dst.
 func (c *Core) Ejected(now time.Time, dst []hsfeed.TargetID) []hsfeed.TargetID {
--- a/internal/hsdirect/core.go
+++ b/internal/hsdirect/core.go
@@ -180,6 +180,7 @@
 		c.out.Report = &Report{Host: hb.GetFrom(), Loads: loadsOf(hb)}
 		if hb.GetZone() == c.cfg.Zone {
 			c.out.Report.Avoid = ejectedOf(hb)
+			c.out.Report.AvoidFor = avoidTime(len(c.nearPeers()))
 		}
 	}
 	c.apply(now, out)
--- a/internal/hsdirect/core_test.go
+++ b/internal/hsdirect/core_test.go
@@ -350,6 +350,35 @@
 	}
 }
 
+// TestEjectedToldInLargeZone checks that a host's word that a target does not
+// answer reaches all members of a zone whose members get reports in turn, and
+// holds there until the next one.
+func TestEjectedToldInLargeZone(t *testing.T) {
+	zones := make([]string, 0, 30)
+	for range 30 {
+		zones = append(zones, "big")
+	}
+	w := newWorld(t, zones...)
+	w.runWithLoads(6 * time.Second)
+	h := w.hosts[0]
+	told := map[netip.Addr]time.Time{}
+	for step := range 40 {
+		w.run(TickInterval)
+		for _, other := range w.hosts {
+			other.avoid = nil
+		}
+		w.carryOut(h, h.core.Loads(w.now, &Loads{Ejected: []hsfeed.TargetID{7}, News: step == 0 || step == 1}))
+		for _, other := range w.hosts[1:] {
+			if len(other.avoid) > 0 {
+				told[other.addr] = w.now
+			}
+			if step > 1 {
+				assert.Assert(t, w.now.Sub(told[other.addr]) < avoidTime(len(w.hosts))*3/2, "%s after %d steps", other.addr, step)
+			}
+		}
+	}
+}
+
 // TestControlBudget checks that a host sends less than 3 KB/s, headers
 // included, in a deployment of eight hosts under usual load.
 func TestControlBudget(t *testing.T) {
--- a/internal/hsdirect/data.go
+++ b/internal/hsdirect/data.go
@@ -187,7 +187,7 @@
 	}
 	if m.report != nil {
 		d.core.Report(now, m.report.Host, m.report.Loads)
-		d.core.Avoid(now, m.report.Avoid)
+		d.core.Avoid(now, m.report.Avoid, m.report.AvoidFor)
 	}
 	if m.status != nil {
 		m.status <- d.status()
--- a/internal/hsdirect/elect.go
+++ b/internal/hsdirect/elect.go
@@ -53,8 +53,7 @@
 // silentTime returns the time without a message after which one of n members of
 // the zone no longer keeps this host from reading the store.
 func silentTime(n int) time.Duration {
-	turns := (n + nearMost - 1) / nearMost
-	return max(silentAfter, silentTurns*time.Duration(turns)*nearInterval)
+	return max(silentAfter, silentTurns*turnTime(n))
 }
 
 // rank orders the members of a zone by how soon they read the store.
--- a/internal/hsdirect/report.go
+++ b/internal/hsdirect/report.go
@@ -17,6 +17,8 @@
 		Host  string
 		Loads []hsplace.Load
 		Avoid []hsfeed.TargetID
+		// Time for which the other host's word that they do not answer holds.
+		AvoidFor time.Duration
 	}
 
 	// Loads is what this host has open and leaves out.
@@ -51,8 +53,24 @@
 	// loadsMost and ejectedMost bound the targets in a report.
 	loadsMost   = 12
 	ejectedMost = 32
+	// avoidTurns is the time for which a host's word that a target does not
+	// answer holds, in turns of its reports: one may be lost. avoidMin is it in
+	// a small zone, and avoidMax in a large one: the longest ejection.
+	avoidTurns = 2
+	avoidMin   = 450 * time.Millisecond
+	avoidMax   = 1600 * time.Millisecond
 )
 
+// turnTime returns the time in which each of n members of the zone gets a
+// report.
+func turnTime(n int) time.Duration {
+	return time.Duration((n+nearMost-1)/nearMost) * nearInterval
+}
+
+// avoidTime returns the time for which a host's word that a target does not
+// answer holds, among n other members of its zone.
+func avoidTime(n int) time.Duration { return min(max(avoidTurns*turnTime(n), avoidMin), avoidMax) }
+
 // Loads takes this host's open flows and tells members of them.
 func (c *Core) Loads(now time.Time, loads *Loads) Output {
 	var near, far []string
@@ -67,7 +85,7 @@
 	}
 	due := c.near.next(now, nearInterval, near, nearMost)
 	if loads.News {
-		due = near[:min(len(near), pushMost)]
+		due = c.near.take(near, pushMost)
 	}
 	due = append(due, c.far.next(now, farInterval, far, farMost)...)
 	if len(due) == 0 {
@@ -95,6 +113,11 @@
 		return nil
 	}
 	t.at = now
+	return t.take(members, most)
+}
+
+// take returns the next members in turn, up to most of them.
+func (t *turn) take(members []string, most int) []string {
 	due := make([]string, 0, most)
 	for range min(most, len(members)) {
 		due = append(due, members[t.n%len(members)])
--- a/internal/hsmodel/policy.go
+++ b/internal/hsmodel/policy.go
@@ -37,6 +37,10 @@
 	}
 )
 
+// avoidTime is the time for which a host's word that a target does not answer
+// holds, as in zones of three hosts.
+const avoidTime = 450 * time.Millisecond
+
 // Policies are the ways that are compared; the last one is the product's.
 var Policies = []Policy{
 	{Name: "random", Choose: func(rng *rand.Rand, _ uint64, open []int) int { return rng.IntN(len(open)) }},
@@ -217,7 +221,7 @@
 		}
 		other.core.Report(now, zoneName(h.n), loads)
 		if other.zone == h.zone {
-			other.core.Avoid(now, ejected)
+			other.core.Avoid(now, ejected, avoidTime)
 		}
 	}
 }
--- a/internal/hsplace/place.go
+++ b/internal/hsplace/place.go
@@ -98,12 +98,12 @@
 	// coldSlots is the part of its slots that a target counts for while it is
 	// slow after its start.
 	coldSlots = 0.6
+	// avoidSpread is the part by which the times differ for which hosts leave a
+	// target out on another's word: one half.
+	avoidSpread = 2
 	// reportLife is the time for which another host's report counts: the time in
 	// which a member of a large zone gets its turn twice.
 	reportLife = 2500 * time.Millisecond
-	// avoidLife is the time for which another host's word that a target does
-	// not answer holds: two reports to a member of a small zone.
-	avoidLife = 450 * time.Millisecond
 )
 
 // New returns a placer without targets.
@@ -215,12 +215,13 @@
 }
 
 // Avoid takes the targets that another host of this zone leaves out. They are
-// left out here as long as it says so; that host tries them again, so that one
-// flow does and not one of each host.
-func (p *Placer) Avoid(now time.Time, ids []hsfeed.TargetID) {
+// left out here for a time, and for up to half as much again, which differs from
+// host to host: so that one flow tries a target again, and not one of each host.
+func (p *Placer) Avoid(now time.Time, ids []hsfeed.TargetID, d time.Duration) {
+	until := now.Add(d + time.Duration(p.rng.Int64N(int64(d/avoidSpread)+1)))
 	for _, id := range ids {
-		if t := p.targets[id]; t != nil {
-			t.avoid = now.Add(avoidLife)
+		if t := p.targets[id]; t != nil && t.avoid.Before(until) {
+			t.avoid = until
 		}
 	}
 }
--- a/internal/hsplace/place_test.go
+++ b/internal/hsplace/place_test.go
@@ -178,12 +178,14 @@
 	other.Unanswered(epoch, 1)
 	told := other.Ejected(epoch, nil)
 	assert.DeepEqual(t, told, []hsfeed.TargetID{1})
-	p.Avoid(epoch, told)
+	p.Avoid(epoch, told, time.Second)
 	for range 5 {
 		assert.Equal(t, choose(t, p, epoch), hsfeed.TargetID(2))
 	}
 	assert.Equal(t, len(p.Ejected(epoch, nil)), 0)
-	assert.Equal(t, choose(t, p, epoch.Add(avoidLife)), hsfeed.TargetID(1))
+	p.Avoid(epoch, told, time.Millisecond)
+	assert.Equal(t, choose(t, p, epoch.Add(time.Second-1)), hsfeed.TargetID(2), "a shorter word does not end a longer one")
+	assert.Equal(t, choose(t, p, epoch.Add(time.Second+time.Second/avoidSpread)), hsfeed.TargetID(1))
 }
 
 // TestLapse plays entries that lapse while the store is away: the targets go on
