Keep more events, so that hosts get changes instead of the whole state

While targets announce themselves, a host that is more than 512 changes behind was sent all of them, again every 0.1 s. Change: 4,096 events are kept, dropped 512 at a time.

--- a/internal/hsfeed/keeper.go
+++ b/internal/hsfeed/keeper.go
@@ -35,10 +35,16 @@
 	}
 )
 
-// maxLog bounds the events kept for hosts that are behind; one that is further
-// behind gets the whole state. It is several times the changes of the seconds
-// that a host may be out of touch.
-const maxLog = 512
+const (
+	// maxLog bounds the events kept for hosts that are behind; one that is further
+	// behind gets the whole state. It is above the changes of the seconds in which
+	// all targets of a region announce themselves, when a host would get the whole
+	// state again and again otherwise.
+	maxLog = 4096
+	// logDrop is the number of events that are dropped at a time when the log is
+	// full, so that an event seldom moves the others.
+	logDrop = maxLog / 8
+)
 
 // Revision returns the revision of the state.
 func (k *Keeper) Revision() uint64 { return k.revision }
@@ -176,8 +182,8 @@
 		k.log = slices.DeleteFunc(k.log, func(old Event) bool { return old.Configuration != nil })
 	}
 	if len(k.log) == maxLog {
-		k.logged = k.log[0].Revision
-		k.log = slices.Delete(k.log, 0, 1)
+		k.logged = k.log[logDrop-1].Revision
+		k.log = slices.Delete(k.log, 0, logDrop)
 	}
 	k.log = append(k.log, ev)
 }
