--- a/internal/hsdirect/data.go
+++ b/internal/hsdirect/data.go
@@ -62,9 +62,9 @@
 )
 
 const (
-	// dataTick is the time between two ticks of the core: half of the time after
-	// which an opening packet counts as unanswered.
-	dataTick = 25 * time.Millisecond
+	// dataTick is the time between two ticks of the core: the time after which an
+	// opening packet counts as unanswered. Packets move the core in between.
+	dataTick = 50 * time.Millisecond
 	// maxPacket is above the largest packet of a caller.
 	maxPacket = 2048
 	// maxFlows bounds the flows that are counted: nine times a host's share at the
--- a/internal/hsmodel/model.go
+++ b/internal/hsmodel/model.go
@@ -102,7 +102,7 @@
 	// workSpread is the standard deviation of the logarithm of a request's work.
 	workSpread = 0.5
 	// tickTime is the time between two ticks of a host.
-	tickTime = 25 * time.Millisecond
+	tickTime = 50 * time.Millisecond
 	// warmUp is the time for which hosts have run before the first request.
 	warmUp = 10 * time.Second
 )
