End the state after a pause only by a read that has looked

Its log has the line about the pause; after the first packet the next read returned at once, since its time limit had passed during the pause, and was taken for a look at an empty socket.

TestPauseGuardEmpty failed before.

--- a/internal/hsdirect/data.go
+++ b/internal/hsdirect/data.go
@@ -56,6 +56,8 @@
 		counts  map[hscode.Code]uint64
 		rec     recorder
 		guard   pauseGuard
+		// Time at which the present read's time limit was set.
+		armed time.Time
 		// True while what is read may have waited for the process.
 		waited bool
 	}
@@ -108,12 +110,12 @@
 		switch {
 		case err == nil:
 			now = time.Now()
-			d.notePause(now, false)
+			d.notePause(d.guard.packet(now))
 			d.packet(now, buf[:n])
 		case errors.Is(err, net.ErrClosed):
 			return
 		case errors.Is(err, os.ErrDeadlineExceeded):
-			d.notePause(time.Now(), true)
+			d.notePause(d.guard.empty(time.Now(), d.armed))
 			d.arm()
 		default:
 			d.counts[hscode.ProcessSocket]++
@@ -125,8 +127,7 @@
 // meanwhile, in the socket or here, have been copied since, and other hosts may
 // have placed their flows on other targets: a second answer would lead the
 // callers' packets there.
-func (d *dataTask) notePause(now time.Time, empty bool) {
-	waited := d.guard.note(now, empty)
+func (d *dataTask) notePause(waited bool) {
 	if waited && !d.waited {
 		d.e.log(log.WarnLevel, hscode.ProcessPaused).
 			Int("held", d.core.HeldPackets()).
@@ -138,7 +139,8 @@
 
 // arm sets the time by which the next read ends.
 func (d *dataTask) arm() {
-	if err := d.e.sockets.data.SetReadDeadline(time.Now().Add(dataTick)); err != nil {
+	d.armed = time.Now()
+	if err := d.e.sockets.data.SetReadDeadline(d.armed.Add(dataTick)); err != nil {
 		d.counts[hscode.ProcessSocket]++
 	}
 }
