--- a/internal/hscookie/admit.go
+++ b/internal/hscookie/admit.go
@@ -117,6 +117,9 @@
 	if it, ok := c.held.Excess(now); ok {
 		return it.Value.packet, c.note(Verdict{Action: Refuse, Code: hscode.FlowOverload}), true
 	}
+	if c.held.Len() == 0 {
+		return Packet{}, Verdict{}, false
+	}
 	full := map[string]bool{}
 	for {
 		it := c.held.First(now, func(it *hsqueue.Item[held]) bool { return !full[it.Value.service] })
--- a/internal/hssoak/soak.go
+++ b/internal/hssoak/soak.go
@@ -122,6 +122,10 @@
 	}
 	s.strike(hard)
 	s.finish(hard)
+	if ctx.Err() != nil {
+		s.killAll()
+		return nil, errors.Trace(ctx.Err())
+	}
 	cancel()
 	s.killAll()
 	if err := s.g.Wait(); err != nil && !errors.Is(err, context.Canceled) {
