--- a/style_test.go
+++ b/style_test.go
@@ -52,6 +52,25 @@
 	assert.Assert(t, adapter > 0 && adapter*10 < all, "%d of %d lines", adapter, all)
 }
 
+// TestSoakIsSmall checks that the fault soak stays under a tenth of the code.
+func TestSoakIsSmall(t *testing.T) {
+	soak, all := 0, 0
+	err := filepath.WalkDir(".", func(path string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.Contains(path, "hsschema") {
+			return err
+		}
+		data, err := os.ReadFile(path)
+		lines := strings.Count(string(data), "\n")
+		all += lines
+		if strings.Contains(path, "hssoak") {
+			soak += lines
+		}
+		return err
+	})
+	assert.NilError(t, err)
+	assert.Assert(t, soak > 0 && soak*10 < all, "%d of %d lines", soak, all)
+}
+
 // TestNoBareGoroutine checks that goroutines are started through a group.
 func TestNoBareGoroutine(t *testing.T) {
 	files := token.NewFileSet()
