--- a/internal/hsdirect/reader.go
+++ b/internal/hsdirect/reader.go
@@ -37,7 +37,7 @@
 const (
 	// watchGap is the least time from a watch that brought changes to the next
 	// one, so that a series of changes costs a few calls a second. It is a
-	// twelfth of the time in which a configuration has to be in force.
+	// twelfth of defaultForce.
 	watchGap = 250 * time.Millisecond
 	// backoffMin is the pause after a first failure: many times what the store
 	// takes to answer.
--- a/internal/hsmodel/model.go
+++ b/internal/hsmodel/model.go
@@ -103,6 +103,9 @@
 	workSpread = 0.5
 	// tickTime is the time between two ticks of a host.
 	tickTime = 50 * time.Millisecond
+	// startSpread is the time within which hosts start after an outage, as in
+	// played incidents.
+	startSpread = 400 * time.Millisecond
 	// warmUp is the time for which hosts have run before the first request.
 	warmUp = 10 * time.Second
 )
@@ -120,11 +123,10 @@
 	}
 }
 
-// WithOutage returns the day with an outage of all hosts in its middle, which
-// start again within 0.4 s of one another.
+// WithOutage returns the day with an outage of all hosts in its middle.
 func (c Config) WithOutage(d time.Duration) Config {
 	c.Outage = d
-	c.Start = 400 * time.Millisecond
+	c.Start = startSpread
 	return c
 }
 
--- a/internal/hssoak/host.go
+++ b/internal/hssoak/host.go
@@ -162,6 +162,19 @@
 	return time.Since(h.trouble) >= contactTime
 }
 
+// inTouch reports whether bounds hold for the host at an address: nothing was
+// done to its process lately, and the store answers it or some other host that
+// nothing was done to.
+func (s *soak) inTouch(at netip.Addr) bool {
+	served, found := false, false
+	for _, h := range s.hosts {
+		calm := h.calm()
+		served = served || (calm && h.proxy.calm())
+		found = found || (calm && h.settings.Data.Addr() == at)
+	}
+	return served && found
+}
+
 // inRotation reports whether routers send packets to the host.
 func (h *host) inRotation() bool {
 	h.mu.Lock()
--- a/internal/hssoak/ledger.go
+++ b/internal/hssoak/ledger.go
@@ -101,8 +101,8 @@
 	}
 }
 
-// broken notes a broken promise. The caller holds the lock.
-func (l *ledger) broken(format string, args ...any) {
+// failLocked is fail for callers that hold the lock.
+func (l *ledger) failLocked(format string, args ...any) {
 	if len(l.rep.Broken) < maxBroken {
 		at := fmt.Sprintf("%8.3f ", time.Since(l.started).Seconds())
 		l.rep.Broken = append(l.rep.Broken, at+fmt.Sprintf(format, args...))
@@ -113,7 +113,7 @@
 func (l *ledger) fail(format string, args ...any) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.broken(format, args...)
+	l.failLocked(format, args...)
 }
 
 func (l *ledger) setRoutes(routes []hsfeed.Route, now time.Time) {
@@ -178,17 +178,17 @@
 	}
 	t, r := l.targets[id], l.routes[to]
 	if r == nil || r.service != t.service {
-		l.broken("flow %s>%s reached target %x of service %s", from, to, uint64(id), t.service)
+		l.failLocked("flow %s>%s reached target %x of service %s", from, to, uint64(id), t.service)
 		return
 	}
 	if !calm || now.Sub(l.storeTrouble) < contactTime {
 		return
 	}
 	if !t.ended.IsZero() && now.Sub(t.ended) > drainBound+l.slack {
-		l.broken("flow %s>%s reached target %x %v after its end was published", from, to, uint64(id), now.Sub(t.ended))
+		l.failLocked("flow %s>%s reached target %x %v after its end was published", from, to, uint64(id), now.Sub(t.ended))
 	}
 	if !r.dropped.IsZero() && !sent.IsZero() && sent.Sub(r.dropped) > forceBound+l.slack {
-		l.broken("flow %s>%s was placed %v after its route was dropped", from, to, sent.Sub(r.dropped))
+		l.failLocked("flow %s>%s was placed %v after its route was dropped", from, to, sent.Sub(r.dropped))
 	}
 }
 
@@ -204,7 +204,7 @@
 	if f.owner == 0 || f.owner == id || !l.targets[f.owner].alive {
 		return
 	}
-	l.broken("packet of flow %s>%s reached target %x, which does not hold it; %x does; %v", from, f.to, uint64(id), uint64(f.owner), f.placed)
+	l.failLocked("packet of flow %s>%s reached target %x, which does not hold it; %x does; %v", from, f.to, uint64(id), uint64(f.owner), f.placed)
 }
 
 // begun notes a flow that a caller tries to open.
@@ -244,7 +244,7 @@
 		return
 	}
 	if sent.Sub(r.since) > forceBound+l.slack {
-		l.broken("flow %s>%s was refused %v after its route was published", from, to, sent.Sub(r.since))
+		l.failLocked("flow %s>%s was refused %v after its route was published", from, to, sent.Sub(r.since))
 	}
 }
 
@@ -269,7 +269,7 @@
 	if f.denied || !l.targets[f.owner].alive || !route.dropped.IsZero() {
 		return
 	}
-	l.broken("open flow %s>%s %s though its target %x lives", from, f.to, how, uint64(f.owner))
+	l.failLocked("open flow %s>%s %s though its target %x lives", from, f.to, how, uint64(f.owner))
 }
 
 func (l *ledger) done(from netip.AddrPort) {
@@ -299,7 +299,7 @@
 		least = 1
 	}
 	if l.opened == 0 || float64(l.opened) < least {
-		l.broken("only %d of %d flows opened after all faults were over", l.opened, l.tried)
+		l.failLocked("only %d of %d flows opened after all faults were over", l.opened, l.tried)
 	}
 }
 
--- a/internal/hssoak/target.go
+++ b/internal/hssoak/target.go
@@ -189,16 +189,3 @@
 	// A datagram that is lost is sent again by whoever misses it.
 	_, _ = t.conn.WriteToUDPAddrPort(raw, netip.AddrPortFrom(d.to, dataPort))
 }
-
-// inTouch reports whether bounds hold for the host at an address: nothing was
-// done to its process lately, and the store answers it or some other host that
-// nothing was done to.
-func (s *soak) inTouch(at netip.Addr) bool {
-	served, found := false, false
-	for _, h := range s.hosts {
-		calm := h.calm()
-		served = served || (calm && h.proxy.calm())
-		found = found || (calm && h.settings.Data.Addr() == at)
-	}
-	return served && found
-}
