--- a/internal/hssoak/caller.go
+++ b/internal/hssoak/caller.go
@@ -81,7 +81,6 @@
 	if c.conn, err = hstask.ListenUDP(netip.AddrPortFrom(c.addr, dataPort)); err != nil {
 		return errors.Trace(err)
 	}
-	s.callers = append(s.callers, c)
 	s.g.Go(func() error {
 		<-ctx.Done()
 		return c.conn.Close()
--- a/internal/hssoak/soak.go
+++ b/internal/hssoak/soak.go
@@ -78,11 +78,12 @@
 		ledger *ledger
 		g      *errgroup.Group
 
+		// Complete before the first task starts that reads it.
+		hosts []*host
+
 		mu      sync.Mutex
 		rng     *rand.Rand
-		hosts   []*host
 		targets []*target
-		callers []*caller
 		// Identity and last byte of the address of the next target.
 		nextID   hsfeed.TargetID
 		nextAddr byte
@@ -141,12 +142,6 @@
 		return errors.Trace(err)
 	}
 	s.g.Go(func() error { return hshttp.Serve(ctx, l, s.cfg.Store) })
-	for i := range zoneCount * s.cfg.Targets {
-		if err := s.addTarget(ctx, services[i%len(services)], zoneName(i%zoneCount), s.newAddr()); err != nil {
-			return errors.Trace(err)
-		}
-	}
-	s.publishConfiguration()
 	for i := range zoneCount * s.cfg.Hosts {
 		h, err := s.newHost(ctx, i)
 		if err != nil {
@@ -154,6 +149,12 @@
 		}
 		s.hosts = append(s.hosts, h)
 	}
+	for i := range zoneCount * s.cfg.Targets {
+		if err := s.addTarget(ctx, services[i%len(services)], zoneName(i%zoneCount), s.newAddr()); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	s.publishConfiguration()
 	for _, h := range s.hosts {
 		if err := h.start(); err != nil {
 			return errors.Trace(err)
