Run the tasks of both programs by one function

Cause: hsdirect and hsentry each had the frame that starts the tasks, waits for the planned stop, ends the tasks' context and closes the sockets, line by line the same. Change: hstask.Run; both programs pass their tasks, what to wait for and what to close. Behaviour stays.

--- a/internal/hsdirect/entry.go
+++ b/internal/hsdirect/entry.go
@@ -23,7 +23,6 @@
 
 	"github.com/juju/errors"
 	"github.com/phuslu/log"
-	"golang.org/x/sync/errgroup"
 
 	"heatherstack.org/heatherstack/internal/hscode"
 	"heatherstack.org/heatherstack/internal/hscookie"
@@ -143,30 +142,17 @@
 // Run serves until ctx ends, which starts a planned stop, and returns when it
 // is over.
 func (e *Entry) Run(ctx context.Context) error {
-	hard, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	defer cancel()
-	g, hard := errgroup.WithContext(hard)
-	tasks := []func(context.Context) error{
-		e.runData, e.runInbox, e.runControl, e.runReader, e.runFetcher, e.runCalls, e.runReady, e.runReload,
-	}
-	for _, task := range tasks {
-		g.Go(func() error { return task(hard) })
-	}
-	g.Go(func() error {
-		defer e.sockets.close()
-		defer cancel()
-		select {
-		case <-ctx.Done():
-			e.plannedStop(hard)
-		case <-hard.Done():
-		}
-		return nil
-	})
-	err := g.Wait()
-	if errors.Is(err, context.Canceled) {
-		err = nil
+	return hstask.Run(ctx, e.awaitStop, e.sockets.close,
+		e.runData, e.runInbox, e.runControl, e.runReader, e.runFetcher, e.runCalls, e.runReady, e.runReload)
+}
+
+// awaitStop returns when the planned stop is over, or a task failed.
+func (e *Entry) awaitStop(ctx, hard context.Context) {
+	select {
+	case <-ctx.Done():
+		e.plannedStop(hard)
+	case <-hard.Done():
 	}
-	return errors.Trace(err)
 }
 
 // plannedStop turns readiness off and goes on forwarding until the routers send
--- a/internal/hsentry/entry.go
+++ b/internal/hsentry/entry.go
@@ -21,7 +21,6 @@
 
 	"github.com/juju/errors"
 	"github.com/phuslu/log"
-	"golang.org/x/sync/errgroup"
 
 	"heatherstack.org/heatherstack/internal/hscode"
 	"heatherstack.org/heatherstack/internal/hshome"
@@ -99,26 +98,8 @@
 // Run serves until ctx ends, which starts a planned stop, and returns when it
 // is over.
 func (e *Entry) Run(ctx context.Context) error {
-	hard, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	defer cancel()
-	g, hard := errgroup.WithContext(hard)
-	tasks := []func(context.Context) error{
-		e.runReader, e.runSwitch, e.runControlReader, e.runControl, e.runPlatform, e.runCaller, e.runServer, e.runAdmin,
-	}
-	for _, task := range tasks {
-		g.Go(func() error { return task(hard) })
-	}
-	g.Go(func() error {
-		defer e.sockets.close()
-		defer cancel()
-		e.awaitStop(ctx, hard)
-		return nil
-	})
-	err := g.Wait()
-	if hard.Err() != nil && errors.Is(err, context.Canceled) {
-		err = nil
-	}
-	return errors.Trace(err)
+	return hstask.Run(ctx, e.awaitStop, e.sockets.close,
+		e.runReader, e.runSwitch, e.runControlReader, e.runControl, e.runPlatform, e.runCaller, e.runServer, e.runAdmin)
 }
 
 // Kill ends the host at once, as a crash would.
--- a/internal/hstask/hstask.go
+++ b/internal/hstask/hstask.go
@@ -1,5 +1,5 @@
-// Package hstask holds what the tasks of the programs share: waiting, asking one
-// another, and opening sockets.
+// Package hstask holds what the tasks of the programs share: running until a
+// planned stop, waiting, asking one another, and opening sockets.
 package hstask
 
 import (
@@ -8,9 +8,38 @@
 	"net/netip"
 	"time"
 
+	"github.com/juju/errors"
+	"golang.org/x/sync/errgroup"
+
 	"heatherstack.org/heatherstack/internal/hscode"
 )
 
+// Run runs tasks until ctx ends and stop has returned, or until one of them
+// fails. stop gets ctx and the context of the tasks, and returns when the tasks
+// have to go; then their context ends, and closeAll is called to wake those that
+// wait in sockets.
+func Run(
+	ctx context.Context, stop func(ctx, tasks context.Context), closeAll func(), tasks ...func(context.Context) error,
+) error {
+	hard, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	g, hard := errgroup.WithContext(hard)
+	for _, task := range tasks {
+		g.Go(func() error { return task(hard) })
+	}
+	g.Go(func() error {
+		defer closeAll()
+		defer cancel()
+		stop(ctx, hard)
+		return nil
+	})
+	err := g.Wait()
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return errors.Trace(err)
+}
+
 // Sleep waits for d or until ctx ends.
 func Sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
