--- a/internal/hssoak/caller.go
+++ b/internal/hssoak/caller.go
@@ -219,7 +219,7 @@
 }
 
 func (f *call) sendOpening(copies uint32) {
-	f.write(&hscookie.Packet{From: f.from, To: f.to, Flags: hscookie.Open, Copies: copies}, f.opening)
+	f.write(&hscookie.Packet{From: f.from, To: f.to, Flags: hscookie.Open, Ack: copies}, f.opening)
 }
 
 func (f *call) send(flags hscookie.Flags, data []byte) {
