Compare what arrives with what was sent in the soak; say once how faults take hosts and targets

Cause: the soak's check that a target gets packets as their caller sent them looked at the length of the data only. With a byte of the data changed on its way (trial) it saw nothing; now it reports it. Besides, each fault repeated how a host or target is taken, named and given back, one process and several were killed by two functions, and the end of a run was written three times. Change: the ledger compares address and data; onHost and onTarget wrap faults; one kill; one end of a run, which also waits for the tasks when the start fails. TestSoak with the race detector passes.

--- a/internal/hssoak/caller.go
+++ b/internal/hssoak/caller.go
@@ -40,11 +40,10 @@
 	// call is one flow of a caller.
 	call struct {
 		c    *caller
-		rng  *rand.Rand
 		from netip.AddrPort
 		to   netip.AddrPort
-		// Data of the opening packet: when it was sent first, in Unix
-		// microseconds.
+		// Data of all packets but the last: when the opening one was sent first,
+		// in Unix microseconds.
 		opening []byte
 		in      chan answer
 		// The cookie of the last answer, and what acknowledges the target's
@@ -132,11 +131,11 @@
 	to := c.s.route(rng)
 	c.mu.Lock()
 	c.port++
-	f := &call{c: c, rng: rng, from: netip.AddrPortFrom(c.addr, c.port), to: to, in: make(chan answer, answersHeld)}
+	f := &call{c: c, from: netip.AddrPortFrom(c.addr, c.port), to: to, in: make(chan answer, answersHeld)}
 	c.flows[c.port] = f.in
 	c.mu.Unlock()
 	f.opening = binary.BigEndian.AppendUint64(nil, uint64(time.Now().UnixMicro()))
-	c.s.ledger.begun(f.from, to)
+	c.s.ledger.begun(f.from, to, f.opening)
 	defer c.s.ledger.done(f.from)
 	defer func() {
 		c.mu.Lock()
@@ -252,12 +251,3 @@
 	hash := uint64(from.Port())*2654435761 + uint64(from.Addr().As4()[3])*40503
 	return in[hash>>4%uint64(len(in))], true
 }
-
-// sentBy reports whether a caller sent a packet as it arrived: the data of all
-// packets of a flow is the same, but for the last one's, which has none.
-func (s *soak) sentBy(p *hscookie.Packet, data []byte) bool {
-	if p.Has(hscookie.Fin) {
-		return len(data) == 0
-	}
-	return len(data) == len(binary.BigEndian.AppendUint64(nil, 0))
-}
--- a/internal/hssoak/faults.go
+++ b/internal/hssoak/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"syscall"
@@ -21,6 +22,8 @@
 	// Bounds of the time for which processes and the store are in trouble.
 	troubleMin = 300 * time.Millisecond
 	troubleMax = 5 * time.Second
+	// downMost bounds the time until a killed process starts again.
+	downMost = 2 * time.Second
 	// stormCount and stormGap are those of a series of configurations.
 	stormCount = 6
 	stormGap   = 250 * time.Millisecond
@@ -35,19 +38,19 @@
 
 var (
 	faults = []fault{
-		{"kill", kill},
-		{"pause", pause},
-		{"planned stop", stop},
-		{"kill several", killSeveral},
-		{"settings signal", hangUp},
+		{"kill", kill(1)},
+		{"pause", onHost("pause %s", pause)},
+		{"planned stop", onHost("planned stop of %s", stop)},
+		{"kill several", kill(math.MaxInt)},
+		{"settings signal", onHost("settings signal to %s", hangUp)},
 		{"store away for one", storeAwayForOne},
 		{"store away for all", storeAwayForAll},
 		{"store forgets", func(_ context.Context, s *soak, _ *rand.Rand) { s.cfg.Store.Forget() }},
 		{"configuration", func(_ context.Context, s *soak, _ *rand.Rand) { s.publishConfiguration() }},
 		{"configurations in a row", storm},
-		{"drain and reuse", drain},
-		{"crash", crash},
-		{"dark", dark},
+		{"drain and reuse", onTarget("drain target %x", drain)},
+		{"crash", onTarget("crash target %x", crash)},
+		{"dark", onTarget("silence target %x", dark)},
 	}
 
 	baseRoutes = []netip.AddrPort{
@@ -89,16 +92,30 @@
 	hstask.Sleep(ctx, between(rng, troubleMin, troubleMax))
 }
 
-func kill(ctx context.Context, s *soak, rng *rand.Rand) {
-	h := s.take(rng)
-	if h == nil {
-		return
+// onHost makes a fault of what happens to one host.
+func onHost(trace string, do func(ctx context.Context, h *host, rng *rand.Rand)) func(context.Context, *soak, *rand.Rand) {
+	return func(ctx context.Context, s *soak, rng *rand.Rand) {
+		h := s.take(rng)
+		if h == nil {
+			return
+		}
+		defer h.busy.Unlock()
+		s.trace(trace, h.settings.Name)
+		do(ctx, h, rng)
+	}
+}
+
+// onTarget makes a fault of what happens to one target.
+func onTarget(trace string, do func(ctx context.Context, t *target, rng *rand.Rand)) func(context.Context, *soak, *rand.Rand) {
+	return func(ctx context.Context, s *soak, rng *rand.Rand) {
+		t := s.takeTarget(rng)
+		if t == nil {
+			return
+		}
+		defer t.busy.Unlock()
+		s.trace(trace, uint64(t.entry.ID))
+		do(ctx, t, rng)
 	}
-	defer h.busy.Unlock()
-	s.trace("kill %s", h.settings.Name)
-	h.kill()
-	hstask.Sleep(ctx, between(rng, troubleMin, 2*time.Second))
-	h.restart(ctx)
 }
 
 func (h *host) restart(ctx context.Context) {
@@ -110,53 +127,40 @@
 	}
 }
 
-func killSeveral(ctx context.Context, s *soak, rng *rand.Rand) {
-	var taken []*host
-	for range len(s.hosts) / 2 {
-		if h := s.take(rng); h != nil {
-			taken = append(taken, h)
+// kill makes a fault that kills up to most processes at once, of half of the
+// hosts at the most, and starts them again.
+func kill(most int) func(context.Context, *soak, *rand.Rand) {
+	return func(ctx context.Context, s *soak, rng *rand.Rand) {
+		var taken []*host
+		for range min(most, len(s.hosts)/2) {
+			if h := s.take(rng); h != nil {
+				taken = append(taken, h)
+			}
+		}
+		for _, h := range taken {
+			s.trace("kill %s", h.settings.Name)
+			h.kill()
+		}
+		hstask.Sleep(ctx, between(rng, troubleMin, downMost))
+		for _, h := range taken {
+			h.restart(ctx)
+			h.busy.Unlock()
 		}
-	}
-	for _, h := range taken {
-		s.trace("kill %s", h.settings.Name)
-		h.kill()
-	}
-	hstask.Sleep(ctx, between(rng, troubleMin, 2*time.Second))
-	for _, h := range taken {
-		h.restart(ctx)
-		h.busy.Unlock()
 	}
 }
 
-func pause(ctx context.Context, s *soak, rng *rand.Rand) {
-	h := s.take(rng)
-	if h == nil {
-		return
-	}
-	defer h.busy.Unlock()
-	s.trace("pause %s", h.settings.Name)
+func pause(ctx context.Context, h *host, rng *rand.Rand) {
 	h.signal(syscall.SIGSTOP)
 	trouble(ctx, rng)
 	h.signal(syscall.SIGCONT)
 }
 
-func stop(ctx context.Context, s *soak, rng *rand.Rand) {
-	h := s.take(rng)
-	if h == nil {
-		return
-	}
-	defer h.busy.Unlock()
-	s.trace("planned stop of %s", h.settings.Name)
+func stop(ctx context.Context, h *host, _ *rand.Rand) {
 	h.terminate(ctx)
 	h.restart(ctx)
 }
 
-func hangUp(_ context.Context, s *soak, rng *rand.Rand) {
-	if h := s.take(rng); h != nil {
-		defer h.busy.Unlock()
-		h.signal(syscall.SIGHUP)
-	}
-}
+func hangUp(_ context.Context, h *host, _ *rand.Rand) { h.signal(syscall.SIGHUP) }
 
 func storeAwayForOne(ctx context.Context, s *soak, rng *rand.Rand) {
 	h := s.hosts[rng.IntN(len(s.hosts))]
@@ -216,12 +220,8 @@
 
 // drain replaces a target: another one starts, the old one announces its end,
 // goes on serving, ends, and its address goes to a target of another service.
-func drain(ctx context.Context, s *soak, rng *rand.Rand) {
-	t := s.takeTarget(rng)
-	if t == nil {
-		return
-	}
-	s.trace("drain target %x", uint64(t.entry.ID))
+func drain(ctx context.Context, t *target, rng *rand.Rand) {
+	s := t.s
 	s.addOrFail(ctx, t.entry.Service, t.entry.Zone, s.newAddr())
 	t.entry.Draining = true
 	t.publish()
@@ -247,26 +247,15 @@
 }
 
 // crash ends a target, whose entry lapses, and starts another one.
-func crash(ctx context.Context, s *soak, rng *rand.Rand) {
-	t := s.takeTarget(rng)
-	if t == nil {
-		return
-	}
-	s.trace("crash target %x", uint64(t.entry.ID))
+func crash(ctx context.Context, t *target, _ *rand.Rand) {
 	t.end()
 	hstask.Sleep(ctx, lapseTime)
 	t.remove()
-	s.addOrFail(ctx, t.entry.Service, t.entry.Zone, s.newAddr())
+	t.s.addOrFail(ctx, t.entry.Service, t.entry.Zone, t.s.newAddr())
 }
 
 // dark silences a target, which keeps its flows.
-func dark(ctx context.Context, s *soak, rng *rand.Rand) {
-	t := s.takeTarget(rng)
-	if t == nil {
-		return
-	}
-	defer t.busy.Unlock()
-	s.trace("silence target %x", uint64(t.entry.ID))
+func dark(ctx context.Context, t *target, rng *rand.Rand) {
 	t.setDark(true)
 	trouble(ctx, rng)
 	t.setDark(false)
--- a/internal/hssoak/ledger.go
+++ b/internal/hssoak/ledger.go
@@ -1,6 +1,7 @@
 package hssoak
 
 import (
+	"bytes"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
@@ -56,6 +57,8 @@
 		// True if the flow counts in tried: it has to open.
 		counted bool
 		begun   time.Time
+		// Data of the flow's packets but the last, which has none.
+		data []byte
 		// Which opening packets reached which targets, for the report.
 		placed []string
 	}
@@ -192,6 +195,24 @@
 	}
 }
 
+// sentSo reports whether a packet reached a target as its caller sent it. One of
+// a flow that its caller has ended cannot be told any more.
+func (l *ledger) sentSo(p *hscookie.Packet, data []byte) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	f := l.flows[p.From]
+	switch {
+	case f == nil:
+		return true
+	case p.To != f.to:
+		return false
+	case p.Has(hscookie.Fin):
+		return len(data) == 0
+	default:
+		return bytes.Equal(data, f.data)
+	}
+}
+
 // tookForeign checks a later packet at a target that does not hold its flow.
 func (l *ledger) tookForeign(id hsfeed.TargetID, from netip.AddrPort) {
 	l.mu.Lock()
@@ -208,10 +229,10 @@
 }
 
 // begun notes a flow that a caller tries to open.
-func (l *ledger) begun(from, to netip.AddrPort) {
+func (l *ledger) begun(from, to netip.AddrPort, data []byte) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.flows[from] = &flow{to: to, begun: time.Now(), counted: l.recovered && l.routes[to].dropped.IsZero()}
+	l.flows[from] = &flow{to: to, begun: time.Now(), data: data, counted: l.recovered && l.routes[to].dropped.IsZero()}
 	if l.flows[from].counted {
 		l.tried++
 	}
--- a/internal/hssoak/soak.go
+++ b/internal/hssoak/soak.go
@@ -116,20 +116,18 @@
 	if err := os.MkdirAll(cfg.Folder, 0o700); err != nil {
 		return nil, errors.Trace(err)
 	}
-	if err := s.begin(hard); err != nil {
-		cancel()
-		s.killAll()
-		return nil, errors.Trace(err)
-	}
-	s.strike(hard)
-	s.finish(hard)
-	if ctx.Err() != nil {
-		s.killAll()
-		return nil, errors.Trace(ctx.Err())
+	err := s.begin(hard)
+	if err == nil {
+		s.strike(hard)
+		s.finish(hard)
+		err = ctx.Err()
 	}
 	cancel()
 	s.killAll()
-	if err := s.g.Wait(); err != nil && !errors.Is(err, context.Canceled) {
+	if waited := s.g.Wait(); err == nil && !errors.Is(waited, context.Canceled) {
+		err = waited
+	}
+	if err != nil {
 		return nil, errors.Trace(err)
 	}
 	return s.ledger.report(cfg.Seed), nil
--- a/internal/hssoak/target.go
+++ b/internal/hssoak/target.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -97,12 +98,8 @@
 	_ = t.conn.Close()
 	t.s.mu.Lock()
 	defer t.s.mu.Unlock()
-	for i, o := range t.s.targets {
-		if o == t {
-			t.s.targets = append(t.s.targets[:i], t.s.targets[i+1:]...)
-			return
-		}
-	}
+	i := slices.Index(t.s.targets, t)
+	t.s.targets = slices.Delete(t.s.targets, i, i+1)
 }
 
 func (t *target) setDark(dark bool) {
@@ -148,7 +145,7 @@
 		return nil
 	}
 	data := raw[len(raw)-p.Size:]
-	if !t.s.sentBy(&p, data) {
+	if !t.s.ledger.sentSo(&p, data) {
 		t.s.ledger.fail("target %x got a packet of %s that was not sent so", uint64(id), p.From)
 		return nil
 	}
