Count a zone's members once a tick; decode log lines once; name the longest ejection once

Cause: each report of loads that arrived sorted and copied the list of all members to learn how many the zone has, up to 15 times a second; hsctl trace decoded each line twice, also those that it passes over; the longest ejection stood in hsdirect as a second literal. Change: the election, which looks at the members at each tick, keeps their number; fields are decoded for lines that are written; hsplace.EjectMax serves both. Behaviour stays, but that the number may be a tick (0.1 s) old. Ruled out as worth a change: the first copies' times, which the model and the soak state for themselves, since stand-ins must not take them from what they check.

--- a/internal/hsctl/trace.go
+++ b/internal/hsctl/trace.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"os"
 	"slices"
 	"strconv"
@@ -47,7 +48,6 @@
 		Flow    string      `json:"flow"`
 		Target  uint64      `json:"target"`
 		Message string      `json:"message"`
-		fields  map[string]json.RawMessage
 		raw     string
 	}
 )
@@ -156,7 +156,7 @@
 	if json.Unmarshal([]byte(l.raw), &l) != nil || l.Time.IsZero() {
 		return line{}, false
 	}
-	return l, json.Unmarshal([]byte(l.raw), &l.fields) == nil
+	return l, true
 }
 
 // takes reports whether a line is wanted. A flow is named by the caller's
@@ -183,17 +183,15 @@
 		_, _ = fmt.Fprintln(w, l.raw)
 		return
 	}
+	var fields map[string]json.RawMessage
+	// The line was read before, so that there is no error.
+	_ = json.Unmarshal([]byte(l.raw), &fields)
 	var b strings.Builder
 	fmt.Fprintf(&b, "%s %-16s %s: %s", l.Time.UTC().Format("15:04:05.000"), l.Host, l.Code, l.Message)
-	names := make([]string, 0, len(l.fields))
-	for name := range l.fields {
+	for _, name := range slices.Sorted(maps.Keys(fields)) {
 		if !slices.Contains(known, name) {
-			names = append(names, name)
+			fmt.Fprintf(&b, " %s=%s", name, strings.Trim(string(fields[name]), `"`))
 		}
 	}
-	slices.Sort(names)
-	for _, name := range names {
-		fmt.Fprintf(&b, " %s=%s", name, strings.Trim(string(l.fields[name]), `"`))
-	}
 	_, _ = fmt.Fprintln(w, b.String())
 }
--- a/internal/hsdirect/core.go
+++ b/internal/hsdirect/core.go
@@ -72,6 +72,8 @@
 		// Time since which members know of changes that the store has not told
 		// this host, which reads it; zero if there are none.
 		behind time.Time
+		// Other members of this zone that were alive at the last tick.
+		nearAlive int
 		// Reports of loads to members of this zone and of others.
 		near turn
 		far  turn
@@ -180,7 +182,7 @@
 		c.out.Report = &Report{Host: hb.GetFrom(), Loads: loadsOf(hb)}
 		if hb.GetZone() == c.cfg.Zone {
 			c.out.Report.Avoid = ejectedOf(hb)
-			c.out.Report.AvoidFor = avoidTime(len(c.nearPeers()))
+			c.out.Report.AvoidFor = avoidTime(c.nearAlive)
 		}
 	}
 	c.apply(now, out)
--- a/internal/hsdirect/elect.go
+++ b/internal/hsdirect/elect.go
@@ -26,7 +26,8 @@
 // the lowest hash does, among those that the store answers.
 func (c *Core) elect(now time.Time) {
 	near := c.nearPeers()
-	silent := silentTime(len(near))
+	c.nearAlive = len(near)
+	silent := silentTime(c.nearAlive)
 	reader := true
 	for _, p := range near {
 		able := !p.Refused && now.Sub(p.Heard) < silent
--- a/internal/hsdirect/reader.go
+++ b/internal/hsdirect/reader.go
@@ -35,7 +35,7 @@
 )
 
 const (
-	// watchGap is the least time from a watch that brought changes to the next
+	// watchGap is the least time from a call that brought changes to the next
 	// one, so that a series of changes costs a few calls a second. It is a
 	// twelfth of defaultForce.
 	watchGap = 250 * time.Millisecond
--- a/internal/hsdirect/report.go
+++ b/internal/hsdirect/report.go
@@ -55,10 +55,9 @@
 	ejectedMost = 32
 	// avoidTurns is the time for which a host's word that a target does not
 	// answer holds, in turns of its reports: one may be lost. avoidMin is it in
-	// a small zone, and avoidMax in a large one: the longest ejection.
+	// a small zone; in a large one it is the longest ejection.
 	avoidTurns = 2
 	avoidMin   = 450 * time.Millisecond
-	avoidMax   = 1600 * time.Millisecond
 )
 
 // turnTime returns the time in which each of n members of the zone gets a
@@ -69,7 +68,9 @@
 
 // avoidTime returns the time for which a host's word that a target does not
 // answer holds, among n other members of its zone.
-func avoidTime(n int) time.Duration { return min(max(avoidTurns*turnTime(n), avoidMin), avoidMax) }
+func avoidTime(n int) time.Duration {
+	return min(max(avoidTurns*turnTime(n), avoidMin), hsplace.EjectMax)
+}
 
 // Loads takes this host's open flows and tells members of them.
 func (c *Core) Loads(now time.Time, loads *Loads) Output {
--- a/internal/hsplace/evidence.go
+++ b/internal/hsplace/evidence.go
@@ -43,11 +43,11 @@
 	// answered in between, after which a target is ejected. One may be a lost
 	// packet.
 	ejectAfter = 2
-	// ejectMin and ejectMax bound an ejection. The first is above the time
+	// ejectMin and EjectMax bound an ejection. The first is above the time
 	// that a packet takes to be answered by far; the second is the longest
 	// that a target which has come back may be left out.
 	ejectMin = 400 * time.Millisecond
-	ejectMax = 1600 * time.Millisecond
+	EjectMax = 1600 * time.Millisecond
 )
 
 // Answered notes that a target answered an opening packet.
@@ -89,7 +89,7 @@
 	if now.Before(e.until) || (e.unanswered < ejectAfter && !e.trial) {
 		return false
 	}
-	e.ejection = min(max(2*e.ejection, ejectMin), ejectMax)
+	e.ejection = min(max(2*e.ejection, ejectMin), EjectMax)
 	e.until = now.Add(e.ejection)
 	e.trial = false
 	return true
