--- a/internal/hsplace/evidence.go
+++ b/internal/hsplace/evidence.go
@@ -43,10 +43,11 @@
 	// answered in between, after which a target is ejected. One may be a lost
 	// packet.
 	ejectAfter = 2
-	// ejectMin and EjectMax bound an ejection. The first is above the time
-	// that a packet takes to be answered by far; the second is the longest
-	// that a target which has come back may be left out.
+	// ejectMin is the shortest ejection: above the time that a packet takes to
+	// be answered by far.
 	ejectMin = 400 * time.Millisecond
+	// EjectMax is the longest ejection, and so the longest that a target which
+	// has come back may be left out.
 	EjectMax = 1600 * time.Millisecond
 )
 
