hsplace: probe a zone again after a probe to its last failed target

Cause: an unanswered packet to the target of the previous unanswered one was no evidence about its zone, even if it was the zone's probe. Change: while a zone is probed, any unanswered packet ends the probe and ejects the zone again. Test: TestZoneProbe fails without the change.

--- a/internal/hsplace/health.go
+++ b/internal/hsplace/health.go
@@ -76,7 +76,7 @@
 		out = append(out, Ejection{Target: id, Zone: t.record.Zone, Duration: t.ejectionTime})
 	}
 	z := t.zone
-	if t.sameZone || z.lastUnanswered == id {
+	if t.sameZone || (z.lastUnanswered == id && !z.probing) {
 		return out
 	}
 	z.lastUnanswered = id
--- a/internal/hsplace/place_test.go
+++ b/internal/hsplace/place_test.go
@@ -153,6 +153,20 @@
 	assert.Equal(t, ch.EjectedCount, 1)
 }
 
+// TestZoneProbe checks that a zone is probed again after a probe that went to
+// the target of the last unanswered packet failed: without it, the zone stayed
+// under probe and got no flow for good.
+func TestZoneProbe(t *testing.T) {
+	p := newPlacer(newRecord(1, "a"), newRecord(2, "b"), newRecord(3, "b"))
+	p.RecordUnanswered(epoch, 2)
+	p.RecordUnanswered(epoch, 3)
+	now := epoch.Add(minEjection)
+	p.zone("b").recordPlaced(now)
+	assert.DeepEqual(t, p.RecordUnanswered(now, 3)[1:], []Ejection{{Zone: "b", Duration: 2 * minEjection}})
+	now = now.Add(MaxEjection)
+	assert.Assert(t, p.zone("b").acceptsFlow(now))
+}
+
 // TestOwnZone checks that this host's own zone is never ejected as a whole.
 func TestOwnZone(t *testing.T) {
 	p := newPlacer(newRecord(1, "a"), newRecord(2, "a"), newRecord(3, "a"))
