Count the load of targets by requests in progress, not by open flows

Cause: hsplace counted open flows as occupied slots. Change: a flow counts from its opening packet, or from the data of a request, to the caller's first acknowledgement of the answer; a request without packets for three times the average service time no longer counts, as its answer may have been seen by another host. An idle flow counts for the requests that are to be expected on it: the rate at which requests end pauses on its route, times the service time. Reports carry both.

--- a/internal/hscookie/admit.go
+++ b/internal/hscookie/admit.go
@@ -21,9 +21,11 @@
 }
 
 const (
-	// maxHeldPackets is the maximum number of held packets at any release rate.
-	// It limits their memory to about 100 KB.
-	maxHeldPackets = 512
+	// maxHeldPackets is the maximum number of held packets at any release rate,
+	// and maxHeldPacketSize the maximum size of each in bytes; opening packets
+	// usually carry no data. Together they limit the memory to 200 KB.
+	maxHeldPackets    = 512
+	maxHeldPacketSize = 256
 	// maxOnTimeUtilization is the utilization up to which a target receives
 	// flows that can still meet their latency objective. Above a utilization of
 	// 1, flows queue at the target, which uses a freed slot at once, before any
@@ -73,8 +75,12 @@
 			return v
 		}
 	}
+	if len(h.packet.Raw) > maxHeldPacketSize {
+		return Verdict{Action: Refuse, Code: hscode.FlowOverload, Choice: v.Choice}
+	}
 	it.Value.packet.Raw = bytes.Clone(h.packet.Raw)
 	c.held.Push(it)
+	c.Stats.Held++
 	return v
 }
 
@@ -117,7 +123,9 @@
 		return Verdict{Action: Refuse, Code: code, Choice: ch}
 	}
 	d := c.targets.byID[ch.Target]
-	c.addFlow(now, &h.key, h.hash, ch.Target, true)
+	if c.addFlow(now, &h.key, h.hash, ch.Target, true) == nil {
+		c.placer.DeferProbe(now, ch.Target)
+	}
 	c.Stats.Placed++
 	return Verdict{Action: Forward, To: d.address, Target: ch.Target, Cookie: d.cookie, Placed: true, Choice: ch}
 }
--- a/internal/hscookie/core.go
+++ b/internal/hscookie/core.go
@@ -62,7 +62,8 @@
 		MidstreamFlows uint64
 		// Flows that timed out before their caller closed them.
 		Expired uint64
-		// Opening packets held while their service was full.
+		// Opening packets held while their service was full, without
+		// retransmissions of held ones.
 		Held uint64
 	}
 
@@ -73,6 +74,9 @@
 		// From the flow's first packet to the one with which the caller closes
 		// it.
 		Flow *hdrhistogram.Histogram
+		// From the data of a request to the acknowledgement of the first data
+		// of its answer.
+		Service *hdrhistogram.Histogram
 	}
 
 	// Core decides how callers' packets are handled. It is not safe for
@@ -92,9 +96,9 @@
 		// Flows whose opening packet may still be unanswered, oldest first.
 		unanswered openingQueue
 		lastSweep  time.Time
-		// Moving average of the time from a flow's first packet to its close by
-		// the caller.
-		avgDuration time.Duration
+		// Moving average of the time from the data of a request to the
+		// acknowledgement of the first data of its answer.
+		avgServiceTime time.Duration
 		// Entry of the flow table at which the next sweep starts.
 		sweepCursor int
 		Stats       Stats
@@ -140,7 +144,7 @@
 		flows:      hsflow.NewTable[flow](),
 		held:       hsqueue.New[heldPacket](hsqueue.Config{MaxItems: maxHeldPackets}),
 		CodeCounts: map[hscode.Code]uint64{},
-		Durations:  Durations{Answer: newHistogram(), Flow: newHistogram()},
+		Durations:  Durations{Answer: newHistogram(), Flow: newHistogram(), Service: newHistogram()},
 	}
 }
 
@@ -159,8 +163,8 @@
 	c.placer.SetTargets(now, list)
 }
 
-// ApplyReport applies another host's report of its open flows, which replaces
-// the host's earlier report.
+// ApplyReport applies another host's report of its loads, which replaces the
+// host's earlier report.
 func (c *Core) ApplyReport(now time.Time, host string, loads []hsplace.Load) {
 	c.placer.ApplyReport(now, host, loads)
 }
@@ -176,8 +180,7 @@
 	return c.placer.AppendEjected(now, dst)
 }
 
-// AppendLoads appends the number of this host's open flows at each target to
-// dst.
+// AppendLoads appends this host's load of each target to dst.
 func (c *Core) AppendLoads(dst []hsplace.Load) []hsplace.Load { return c.placer.AppendLoads(dst) }
 
 // ConfigurationVersion returns the version of the current configuration.
@@ -206,7 +209,6 @@
 		c.Stats.Forwarded++
 		return v
 	case Hold:
-		c.Stats.Held++
 		return v
 	case Refuse:
 		c.Stats.Resets++
@@ -230,7 +232,7 @@
 	if d == nil {
 		return Verdict{Code: hscode.FlowUnknownCookie}
 	}
-	c.trackPacket(now, p, d, &key, hash)
+	c.trackPacket(now, p, r, d, &key, hash)
 	return Verdict{Action: Forward, To: d.address, Target: d.id, Cookie: p.Cookie}
 }
 
@@ -256,8 +258,10 @@
 	if f := c.flows.Get(key, hash); f != nil && !f.closed {
 		if d := c.targets.byID[f.target]; d != nil && r.hasService(d.service) {
 			c.Stats.Retransmits++
-			f.lastSeen = now
-			c.addLoad(f)
+			f.lastSeen = c.uptime(now)
+			if f.unanswered {
+				c.startRequest(f, f.lastSeen)
+			}
 			return Verdict{Action: Forward, To: d.address, Target: d.id, Cookie: d.cookie}
 		}
 	}
--- a/internal/hscookie/flow.go
+++ b/internal/hscookie/flow.go
@@ -10,19 +10,43 @@
 )
 
 type (
-	// flow is the state that a host keeps to track a flow.
+	// flow is the state that a host keeps to track a flow. Times are relative
+	// to the start of the host.
 	flow struct {
-		target   hsfeed.TargetID
-		lastSeen time.Time
+		target    hsfeed.TargetID
+		firstSeen time.Duration
+		lastSeen  time.Duration
+		// Start of the request in progress, or of the pause since the last one.
+		since time.Duration
+		// Highest acknowledgement number of the caller; valid if ackKnown.
+		ack uint32
+		// Sequence number after the caller's last data; valid if dataKnown.
+		dataEnd uint32
+		// Requests that are expected on the flow at any time, as counted at its
+		// target. Zero unless the flow is idle.
+		expected  float32
+		ackKnown  bool
+		dataKnown bool
 		// True until the caller's first packet after the opening one.
 		unanswered bool
 		// True once the caller has closed the flow. From then on the flow does
 		// not count as load of its target, even if further packets arrive.
 		closed bool
-		// True while the flow counts as load of its target.
-		counted bool
-		// Time of the flow's first packet at this host.
-		firstSeen time.Time
+		// True while a request of the flow is in progress and counts as load of
+		// the target: from the opening packet or the request's data to the
+		// first acknowledgement of the answer.
+		busy bool
+		// True if the data of the request in progress has passed this host.
+		requestSeen bool
+	}
+
+	// pauses measures how often callers send a further request on an idle flow
+	// of a route.
+	pauses struct {
+		// Total duration of pauses, and number of them that a request ended.
+		// Both are halved at maxPauses.
+		duration time.Duration
+		requests float64
 	}
 
 	// openingQueue holds the flows whose opening packet may be unanswered, in
@@ -49,57 +73,67 @@
 	flowTimeout = 2 * time.Second
 	// sweepInterval is the time between two sweeps for idle flows.
 	sweepInterval = 50 * time.Millisecond
-	// idleFactor, times the average duration of flows, is the time without
-	// packets for which a flow still counts as load: its caller sends nothing
-	// while the request waits and runs.
-	idleFactor = 2
-	// minIdleTimeout and maxIdleTimeout limit the resulting time.
-	minIdleTimeout = 150 * time.Millisecond
-	maxIdleTimeout = time.Second
-	// durationWeight is the weight of a closed flow in the moving average of
-	// the duration of flows.
-	durationWeight = 1.0 / 64
+	// requestFactor, times the average service time, is the time without
+	// packets after which a request no longer counts as in progress: its answer
+	// may be acknowledged through another host.
+	requestFactor = 3
+	// minRequestTimeout and maxRequestTimeout limit the resulting time.
+	minRequestTimeout = 150 * time.Millisecond
+	maxRequestTimeout = time.Second
+	// serviceTimeWeight is the weight of a request in the moving average of the
+	// service time.
+	serviceTimeWeight = 1.0 / 64
+	// maxPauses is the total duration of pauses of a route's flows that is
+	// remembered, so that a change of the callers' behavior shows soon.
+	maxPauses = 2 * time.Minute
 	// maxSweepEntries is the maximum number of entries visited in one sweep, so
 	// that a sweep takes well under a millisecond.
 	maxSweepEntries = 4096
 )
 
-// addFlow starts to track a flow, unless the maximum number of flows is
-// tracked.
-func (c *Core) addFlow(now time.Time, key *hsflow.Key, hash uint64, id hsfeed.TargetID, isOpening bool) {
+// addFlow starts to track a flow and reports whether it did: it does not if the
+// maximum number of flows is tracked.
+func (c *Core) addFlow(now time.Time, key *hsflow.Key, hash uint64, id hsfeed.TargetID, isOpening bool) *flow {
 	if old := c.flows.Get(key, hash); old != nil {
 		c.removeFlow(key, hash, old)
 	}
 	if c.flows.Len() >= c.cfg.MaxFlows {
-		return
+		return nil
 	}
+	at := c.uptime(now)
 	f := c.flows.GetOrCreate(key, hash)
-	*f = flow{target: id, lastSeen: now, firstSeen: now, unanswered: isOpening}
-	c.addLoad(f)
+	*f = flow{target: id, lastSeen: at, firstSeen: at, since: at, unanswered: isOpening}
 	if isOpening {
+		c.startRequest(f, at)
 		c.unanswered.push(openingFlow{key: *key, hash: hash, openedAt: now})
 	}
+	return f
 }
 
-// trackPacket updates the state of a flow for a later packet, which is
-// forwarded to d.
-func (c *Core) trackPacket(now time.Time, p *Packet, d *destination, key *hsflow.Key, hash uint64) {
+// uptime returns the time since the start of the host.
+func (c *Core) uptime(now time.Time) time.Duration { return now.Sub(c.cfg.StartTime) }
+
+// trackPacket updates the state of a flow of route r for a later packet, which
+// is forwarded to d.
+func (c *Core) trackPacket(now time.Time, p *Packet, r *knownRoute, d *destination, key *hsflow.Key, hash uint64) {
 	f := c.flows.Get(key, hash)
 	ends := p.HasAny(FlagFin | FlagReset)
 	if f == nil {
 		if ends {
 			return
 		}
-		c.addFlow(now, key, hash, d.id, false)
+		if f = c.addFlow(now, key, hash, d.id, false); f == nil {
+			return
+		}
 		c.Stats.MidstreamFlows++
-		return
 	}
-	f.lastSeen = now
+	at := c.uptime(now)
+	f.lastSeen = at
 	if f.unanswered {
 		f.unanswered = false
 		if f.target == d.id {
 			c.placer.RecordAnswered(d.id)
-			recordDuration(c.Durations.Answer, now.Sub(f.firstSeen))
+			recordDuration(c.Durations.Answer, at-f.firstSeen)
 		}
 	}
 	if f.closed {
@@ -109,14 +143,72 @@
 		c.removeLoad(f)
 		f.target = d.id
 	}
+	c.trackRequest(p, r, f, at)
 	if ends {
 		f.closed = true
+		r.pauses.add(f.pause(at), false)
 		c.removeLoad(f)
-		c.updateAvgDuration(now.Sub(f.firstSeen))
-		recordDuration(c.Durations.Flow, now.Sub(f.firstSeen))
+		recordDuration(c.Durations.Flow, at-f.firstSeen)
+	}
+}
+
+// trackRequest updates the request in progress of a flow for a later packet. A
+// request ends when the caller acknowledges the first data of the answer, and
+// one begins with data that the caller has not sent before.
+func (c *Core) trackRequest(p *Packet, r *knownRoute, f *flow, at time.Duration) {
+	if p.HasAny(FlagAck) {
+		if f.ackKnown && isAfter(p.Ack, f.ack) {
+			c.endRequest(f, r, at)
+		}
+		if !f.ackKnown || isAfter(p.Ack, f.ack) {
+			f.ack = p.Ack
+			f.ackKnown = true
+		}
+	}
+	end := p.Seq + uint32(p.DataSize)
+	if p.DataSize == 0 || (f.dataKnown && !isAfter(end, f.dataEnd)) {
 		return
 	}
-	c.addLoad(f)
+	if f.dataKnown && !f.busy {
+		r.pauses.add(f.pause(at), true)
+	}
+	f.dataEnd = end
+	f.dataKnown = true
+	if !f.requestSeen || !f.busy {
+		c.startRequest(f, at)
+		f.requestSeen = true
+	}
+}
+
+// isAfter reports whether sequence number a is after b.
+func isAfter(a, b uint32) bool { return int32(a-b) > 0 }
+
+// startRequest counts a request in progress: from the opening packet on, which
+// a request follows, and again from the request's data.
+func (c *Core) startRequest(f *flow, at time.Duration) {
+	if !f.busy {
+		c.removeLoad(f)
+		f.busy = true
+		c.placer.AddRequest(f.target)
+	}
+	f.requestSeen = false
+	f.since = at
+}
+
+// endRequest ends the request in progress, if there is one. The flow then
+// counts for the requests that are to be expected on it.
+func (c *Core) endRequest(f *flow, r *knownRoute, at time.Duration) {
+	if !f.busy {
+		return
+	}
+	if f.requestSeen {
+		c.avgServiceTime += time.Duration(serviceTimeWeight * float64(at-f.since-c.avgServiceTime))
+		recordDuration(c.Durations.Service, at-f.since)
+	}
+	c.removeLoad(f)
+	f.since = at
+	f.expected = float32(r.pauses.expectedRequests(c.avgServiceTime))
+	c.placer.AddExpected(f.target, float64(f.expected))
 }
 
 // recordDuration adds a duration to a histogram. A duration beyond the
@@ -126,34 +218,60 @@
 	_ = h.RecordValue(min(d.Microseconds(), maxRecordedDuration.Microseconds()))
 }
 
-// updateAvgDuration adds the duration of a closed flow to the moving average.
-func (c *Core) updateAvgDuration(d time.Duration) {
-	c.avgDuration += time.Duration(durationWeight * float64(d-c.avgDuration))
+// requestTimeout returns the time without packets after which a request no
+// longer counts as in progress.
+func (c *Core) requestTimeout() time.Duration {
+	return min(max(requestFactor*c.avgServiceTime, minRequestTimeout), maxRequestTimeout)
 }
 
-// idleTimeout returns the time without packets after which a flow no longer
-// counts as load.
-func (c *Core) idleTimeout() time.Duration {
-	return min(max(idleFactor*c.avgDuration, minIdleTimeout), maxIdleTimeout)
+// removeLoad removes the load of a flow from its target.
+func (c *Core) removeLoad(f *flow) {
+	if f.busy {
+		f.busy = false
+		c.placer.RemoveRequest(f.target)
+	}
+	if f.expected != 0 {
+		c.placer.AddExpected(f.target, -float64(f.expected))
+		f.expected = 0
+	}
 }
 
-func (c *Core) addLoad(f *flow) {
-	if !f.counted {
-		f.counted = true
-		c.placer.AddFlow(f.target)
+func (c *Core) removeFlow(key *hsflow.Key, hash uint64, f *flow) {
+	c.removeLoad(f)
+	c.flows.Remove(key, hash)
+}
+
+// pause returns the time for which the flow has been idle, or 0 if a request is
+// in progress.
+func (f *flow) pause(at time.Duration) time.Duration {
+	if f.busy || f.closed {
+		return 0
 	}
+	return at - f.since
 }
 
-func (c *Core) removeLoad(f *flow) {
-	if f.counted {
-		f.counted = false
-		c.placer.RemoveFlow(f.target)
+// add adds a pause of a flow; isEnded is true if a request ended it, and false
+// if the flow did.
+func (p *pauses) add(d time.Duration, isEnded bool) {
+	p.duration += d
+	if isEnded {
+		p.requests++
+	}
+	if p.duration > maxPauses {
+		p.duration /= 2
+		p.requests /= 2
 	}
 }
 
-func (c *Core) removeFlow(key *hsflow.Key, hash uint64, f *flow) {
-	c.removeLoad(f)
-	c.flows.Remove(key, hash)
+// expectedRequests returns the number of requests in progress, between 0 and 1,
+// that is to be expected on an idle flow: the rate at which requests end pauses
+// times the service time of a request, as a share of both states.
+func (p *pauses) expectedRequests(serviceTime time.Duration) float64 {
+	if p.duration <= 0 {
+		return 0
+	}
+	n := p.requests * float64(serviceTime) / float64(p.duration)
+	return n / (1 + n)
 }
 
 // reportUnanswered reports opening packets that have not been answered in time
@@ -168,14 +286,17 @@
 	}
 }
 
-// sweep stops tracking flows that had no packets for flowTimeout. Flows that
-// had none for the shorter idleTimeout remain tracked but do not count as load.
+// sweep stops tracking flows that had no packets for flowTimeout. A request
+// without packets for the shorter requestTimeout no longer counts as in
+// progress.
 func (c *Core) sweep(now time.Time) {
-	idle := c.idleTimeout()
+	at := c.uptime(now)
+	timeout := c.requestTimeout()
 	c.sweepCursor = c.flows.Scan(c.sweepCursor, maxSweepEntries, func(key *hsflow.Key, f *flow) {
-		age := now.Sub(f.lastSeen)
-		if age >= idle {
+		age := at - f.lastSeen
+		if age >= timeout && f.busy {
 			c.removeLoad(f)
+			f.since = at
 		}
 		if age < flowTimeout {
 			return
@@ -183,6 +304,9 @@
 		if !f.closed {
 			c.Stats.Expired++
 		}
+		if r := c.routes.byAddress[key.Service()]; r != nil {
+			r.pauses.add(f.pause(at), false)
+		}
 		c.removeFlow(key, key.Hash(), f)
 	})
 }
@@ -197,11 +321,13 @@
 	return &q.items[q.head]
 }
 
-// pop removes the oldest flow. The memory is reused once the queue is empty.
+// pop removes the oldest flow. It moves the others to the front once they are
+// the smaller part of the memory in use.
 func (q *openingQueue) pop() {
 	q.head++
-	if q.head == len(q.items) {
-		q.items = q.items[:0]
+	if q.head > len(q.items)/2 {
+		n := copy(q.items, q.items[q.head:])
+		q.items = q.items[:n]
 		q.head = 0
 	}
 }
--- a/internal/hscookie/routes.go
+++ b/internal/hscookie/routes.go
@@ -21,6 +21,7 @@
 		// Zero while the configuration contains the route, else the time until
 		// which its open flows are still forwarded.
 		keepUntil time.Time
+		pauses    pauses
 	}
 
 	// targets holds the listed targets, and those that were removed from the
@@ -50,7 +51,8 @@
 		next[c.Routes[i].Address] = &knownRoute{Route: c.Routes[i]}
 	}
 	for at, old := range r.byAddress {
-		if next[at] != nil {
+		if r := next[at]; r != nil {
+			r.pauses = old.pauses
 			continue
 		}
 		if old.keepUntil.IsZero() {
--- a/internal/hsdirect/data.go
+++ b/internal/hsdirect/data.go
@@ -40,8 +40,9 @@
 		Stats       hscookie.Stats
 		CodeCounts  map[hscode.Code]uint64
 		// Durations in microseconds: from a flow's opening packet to the caller's
-		// next packet, and of whole flows.
+		// next packet, from a request to its answer, and of whole flows.
 		AnswerTimes   *hdrhistogram.Histogram
+		ServiceTimes  *hdrhistogram.Histogram
 		FlowDurations *hdrhistogram.Histogram
 	}
 
@@ -167,10 +168,10 @@
 	}
 }
 
-// reportLoads sends the open flows and the ejected targets to the control task.
+// reportLoads sends the loads and the ejected targets to the control task.
 // It drops the report if the queue is full, since the next one replaces it.
 func (d *dataTask) reportLoads(changed bool) {
-	report := &LocalReport{Flows: d.core.AppendLoads(make([]hsplace.Load, 0, 32)), Ejected: d.lastEjected, EjectionsChanged: changed}
+	report := &LocalReport{Loads: d.core.AppendLoads(make([]hsplace.Load, 0, 32)), Ejected: d.lastEjected, EjectionsChanged: changed}
 	select {
 	case d.e.toControl <- controlMessage{localReport: report}:
 	default:
@@ -259,6 +260,7 @@
 		Stats:         d.core.Stats,
 		CodeCounts:    map[hscode.Code]uint64{},
 		AnswerTimes:   hdrhistogram.Import(d.core.Durations.Answer.Export()),
+		ServiceTimes:  hdrhistogram.Import(d.core.Durations.Service.Export()),
 		FlowDurations: hdrhistogram.Import(d.core.Durations.Flow.Export()),
 	}
 	for code, n := range d.counts {
--- a/internal/hsdirect/metrics.go
+++ b/internal/hsdirect/metrics.go
@@ -66,6 +66,7 @@
 		uintMetric("peer_alive", uint64(c.AlivePeers)),
 	}
 	out = append(out, percentiles("answer_us", d.AnswerTimes)...)
+	out = append(out, percentiles("service_us", d.ServiceTimes)...)
 	out = append(out, percentiles("duration_us", d.FlowDurations)...)
 	for _, e := range hscode.Table[1:] {
 		if n := d.CodeCounts[e.Code] + c.CodeCounts[e.Code]; n > 0 {
--- a/internal/hsdirect/record.go
+++ b/internal/hsdirect/record.go
@@ -46,8 +46,8 @@
 		Uint64("version", core.ConfigurationVersion())
 	if v.Choice.PoolSize > 0 {
 		line = line.Uint64("target", uint64(v.Choice.Target)).
-			Int("own", v.Choice.OwnFlows).
-			Int("others", v.Choice.ReportedFlows).
+			Int("own", v.Choice.OwnRequests).
+			Int("others", v.Choice.ReportedRequests).
 			Int("pool", v.Choice.PoolSize).
 			Int("ejected", v.Choice.EjectedCount)
 	}
--- a/internal/hsdirect/report.go
+++ b/internal/hsdirect/report.go
@@ -11,7 +11,7 @@
 )
 
 type (
-	// PeerReport is a peer's load report: its open flows and, if it is in this
+	// PeerReport is a peer's load report: its loads by target and, if it is in this
 	// zone, the targets that it has ejected.
 	PeerReport struct {
 		Host    string
@@ -21,10 +21,10 @@
 		EjectionDuration time.Duration
 	}
 
-	// LocalReport is this host's load report: its open flows and the targets that
-	// it has ejected.
+	// LocalReport is this host's load report: its loads by target and the targets
+	// that it has ejected.
 	LocalReport struct {
-		Flows   []hsplace.Load
+		Loads   []hsplace.Load
 		Ejected []hsfeed.TargetID
 		// True if the ejected targets changed; peers in this zone are then notified
 		// at once.
@@ -56,6 +56,8 @@
 	// report.
 	maxReportedLoads     = 12
 	maxReportedEjections = 32
+	// expectedUnits is the unit of expected requests in messages: thousandths.
+	expectedUnits = 1000
 	// peerEjectionRounds is the time for which a peer's ejection of a target also
 	// applies at this host, in rounds of that peer's reports: one report may be
 	// lost. minPeerEjection is the lower limit, which applies in a small zone; the
@@ -99,10 +101,16 @@
 		return c.takeOutput()
 	}
 	hb := c.roster.NewMessage(hsschema.Heartbeat_KIND_LOADS)
-	flows := report.Flows
-	slices.SortFunc(flows, func(a, b hsplace.Load) int { return cmp.Compare(b.Flows, a.Flows) })
-	for _, l := range flows[:min(len(flows), maxReportedLoads)] {
-		hb.Loads = append(hb.Loads, &hsschema.Load{Target: uint64(l.Target), Flows: uint32(l.Flows)})
+	loads := report.Loads
+	slices.SortFunc(loads, func(a, b hsplace.Load) int {
+		return cmp.Compare(float64(b.Requests)+b.Expected, float64(a.Requests)+a.Expected)
+	})
+	for _, l := range loads[:min(len(loads), maxReportedLoads)] {
+		hb.Loads = append(hb.Loads, &hsschema.Load{
+			Target: uint64(l.Target),
+			Flows:  uint32(l.Requests),
+			Idle:   uint32(l.Expected * expectedUnits),
+		})
 	}
 	for _, id := range report.Ejected[:min(len(report.Ejected), maxReportedEjections)] {
 		hb.Ejected = append(hb.Ejected, uint64(id))
@@ -136,7 +144,11 @@
 func decodeLoads(hb *hsschema.Heartbeat) []hsplace.Load {
 	out := make([]hsplace.Load, 0, len(hb.GetLoads()))
 	for _, l := range hb.GetLoads() {
-		out = append(out, hsplace.Load{Target: hsfeed.TargetID(l.GetTarget()), Flows: int(l.GetFlows())})
+		out = append(out, hsplace.Load{
+			Target:   hsfeed.TargetID(l.GetTarget()),
+			Requests: int(l.GetFlows()),
+			Expected: float64(l.GetIdle()) / expectedUnits,
+		})
 	}
 	slices.SortFunc(out, func(a, b hsplace.Load) int { return cmp.Compare(a.Target, b.Target) })
 	return out
--- a/internal/hsplace/health.go
+++ b/internal/hsplace/health.go
@@ -86,6 +86,23 @@
 	return out
 }
 
+// DeferProbe records that the flow which was just placed on a target is not
+// tracked, so that its answer will not be noticed. If the flow was the probe of
+// the target or its zone, another one follows after minEjection.
+func (p *Placer) DeferProbe(now time.Time, id hsfeed.TargetID) {
+	if t := p.targets[id]; t != nil {
+		t.deferProbe(now)
+		t.zone.deferProbe(now)
+	}
+}
+
+func (h *health) deferProbe(now time.Time) {
+	if h.probing {
+		h.probing = false
+		h.ejectedUntil = now.Add(minEjection)
+	}
+}
+
 // recordUnanswered records an unanswered opening packet and reports whether
 // this leads to an ejection.
 func (h *health) recordUnanswered(now time.Time) bool {
--- a/internal/hsplace/place.go
+++ b/internal/hsplace/place.go
@@ -3,8 +3,12 @@
 //
 // It is designed for requests that occupy one slot of a target for tens of
 // milliseconds each, and that arrive through many entry hosts, each of which
-// sees only its own part of the load. The load may reach twice the capacity of
-// the targets, which may be starting, draining, unresponsive or unreachable.
+// sees only its own part of the load. Callers open a flow for each request, or
+// keep flows open and send requests on them with pauses between. The unit of
+// load is therefore the request in progress, not the open flow; an idle flow
+// counts for the requests that are to be expected on it. The load may reach
+// twice the capacity of the targets, which may be starting, draining,
+// unresponsive or unreachable.
 //
 // A Placer performs no I/O and does not read the clock.
 package hsplace
@@ -32,20 +36,24 @@
 		Seed uint64
 	}
 
-	// Load is the number of flows that one host has open at one target.
+	// Load is the load of one target by the flows of one host.
 	Load struct {
 		Target hsfeed.TargetID
-		Flows  int
+		// Requests in progress: sent by the caller and not answered yet.
+		Requests int
+		// Number of requests that are to be expected in progress, at any time,
+		// on the host's idle flows to the target.
+		Expected float64
 	}
 
 	// Choice is the target chosen for a new flow, and the load on which the
 	// choice is based.
 	Choice struct {
 		Target hsfeed.TargetID
-		// Open flows at the target: those that this host counts, and those that
-		// other hosts reported.
-		OwnFlows      int
-		ReportedFlows int
+		// Requests in progress at the target: those that this host counts, and
+		// those that other hosts reported.
+		OwnRequests      int
+		ReportedRequests int
 		// Number of candidate targets of the service, and how many of them are
 		// excluded by an ejection.
 		PoolSize     int
@@ -70,10 +78,10 @@
 		sameZone bool
 		// Shared by all targets of the zone.
 		zone *zone
-		// Open flows that this host placed or forwards packets of.
-		ownFlows int
-		// Open flows that other hosts reported.
-		reportedFlows int
+		// Load by flows of this host, and the sum of those that other hosts
+		// reported.
+		own      Load
+		reported Load
 		// Zero while the target is listed, else the time until which it still
 		// receives new flows.
 		graceUntil time.Time
@@ -96,10 +104,13 @@
 	// other zones cause traffic between zones, and are lost if the network
 	// between the zones fails.
 	otherZonePenalty = 0.8
-	// reportWeight is the weight of flows reported by other hosts in the choice
-	// among targets. Such flows have full weight in the decision whether a
-	// target is full. The load model (hslab place) shows the effect.
+	// reportWeight is the weight of requests reported by other hosts in the
+	// choice among targets. Such requests have full weight in the decision
+	// whether a target is full. The load model (hslab place) shows the effect.
 	reportWeight = 0.15
+	// minReportedExpected is the smallest number of expected requests that is
+	// reported.
+	minReportedExpected = 0.01
 	// warmUpCapacity is the fraction of a target's slots that counts as its
 	// capacity during its warm-up time.
 	warmUpCapacity = 0.6
@@ -167,7 +178,7 @@
 	return len(p.targets) < before
 }
 
-// rebuildPools recomputes the pools and the reported flows of all targets.
+// rebuildPools recomputes the pools and the reported loads of all targets.
 func (p *Placer) rebuildPools() {
 	clear(p.pools)
 	for _, t := range p.targets {
@@ -190,33 +201,43 @@
 	return z
 }
 
-// AddFlow adds an open flow of this host to a target.
-func (p *Placer) AddFlow(id hsfeed.TargetID) {
+// AddRequest adds a request in progress of a flow of this host to a target.
+func (p *Placer) AddRequest(id hsfeed.TargetID) {
 	if t := p.targets[id]; t != nil {
-		t.ownFlows++
+		t.own.Requests++
 	}
 }
 
-// RemoveFlow removes an open flow of this host from a target.
-func (p *Placer) RemoveFlow(id hsfeed.TargetID) {
-	if t := p.targets[id]; t != nil && t.ownFlows > 0 {
-		t.ownFlows--
+// RemoveRequest removes a request in progress of a flow of this host from a
+// target.
+func (p *Placer) RemoveRequest(id hsfeed.TargetID) {
+	if t := p.targets[id]; t != nil && t.own.Requests > 0 {
+		t.own.Requests--
 	}
 }
 
-// AppendLoads appends the number of this host's open flows at each target to
-// dst, without targets that have none.
+// AddExpected adds n to the number of requests that are expected on this host's
+// idle flows to a target; n may be negative.
+func (p *Placer) AddExpected(id hsfeed.TargetID, n float64) {
+	if t := p.targets[id]; t != nil {
+		t.own.Expected = max(t.own.Expected+n, 0)
+	}
+}
+
+// AppendLoads appends this host's load of each target to dst, without targets
+// that have none.
 func (p *Placer) AppendLoads(dst []Load) []Load {
 	for id, t := range p.targets {
-		if t.ownFlows > 0 {
-			dst = append(dst, Load{Target: id, Flows: t.ownFlows})
+		if l := t.own; l.Requests > 0 || l.Expected >= minReportedExpected {
+			l.Target = id
+			dst = append(dst, l)
 		}
 	}
 	return dst
 }
 
-// ApplyReport applies another host's report of its open flows, which replaces
-// the host's earlier report.
+// ApplyReport applies another host's report of its loads, which replaces the
+// host's earlier report.
 func (p *Placer) ApplyReport(now time.Time, host string, loads []Load) {
 	p.reports[host] = report{receivedAt: now, loads: loads}
 	p.sumReports()
@@ -273,7 +294,13 @@
 		return Choice{}, hscode.FlowNoTarget
 	}
 	best, ejected := p.lowestCost(now, pool)
-	ch := Choice{Target: best.record.ID, OwnFlows: best.ownFlows, ReportedFlows: best.reportedFlows, PoolSize: len(pool), EjectedCount: ejected}
+	ch := Choice{
+		Target:           best.record.ID,
+		OwnRequests:      best.own.Requests,
+		ReportedRequests: best.reported.Requests,
+		PoolSize:         len(pool),
+		EjectedCount:     ejected,
+	}
 	if best.totalUtilization(now) > maxUtilization {
 		return ch, hscode.FlowOverload
 	}
@@ -320,12 +347,13 @@
 	return t.acceptsFlow(now) && t.zone.acceptsFlow(now) && !now.Before(t.peerEjectedUntil)
 }
 
-// cost returns the utilization that the target would have with one more flow,
-// plus a penalty if it is in another zone. Flows reported by other hosts have a
-// low weight: most of them have ended by the time that the report is used, and
-// with full weight all hosts would choose the same targets.
+// cost returns the utilization that the target would have with one more
+// request, plus a penalty if it is in another zone. Requests reported by other
+// hosts have a low weight: most of them have ended by the time that the report
+// is used, and with full weight all hosts would choose the same targets.
 func (t *target) cost(now time.Time) float64 {
-	c := t.utilization(now, float64(t.ownFlows)+reportWeight*float64(t.reportedFlows))
+	load := float64(t.own.Requests) + t.own.Expected + reportWeight*(float64(t.reported.Requests)+t.reported.Expected)
+	c := t.utilization(now, load)
 	if !t.sameZone {
 		c += otherZonePenalty
 	}
@@ -333,29 +361,31 @@
 }
 
 // totalUtilization returns the utilization that the target would have with one
-// more flow, with full weight for flows reported by other hosts.
+// more request, with full weight for requests reported by other hosts. Expected
+// requests are no evidence that a slot is in use.
 func (t *target) totalUtilization(now time.Time) float64 {
-	return t.utilization(now, float64(t.ownFlows+t.reportedFlows))
+	return t.utilization(now, float64(t.own.Requests+t.reported.Requests))
 }
 
-// utilization returns the fraction of the target's slots that the open flows
-// and one more would occupy; above 1, flows queue at the target.
-func (t *target) utilization(now time.Time, open float64) float64 {
+// utilization returns the fraction of the target's slots that the given load
+// and one more request would occupy; above 1, requests queue at the target.
+func (t *target) utilization(now time.Time, load float64) float64 {
 	slots := float64(t.record.Slots)
 	if now.Before(t.record.WarmUpUntil) {
 		slots *= warmUpCapacity
 	}
-	return (open + 1) / slots
+	return (load + 1) / slots
 }
 
 func (p *Placer) sumReports() {
 	for _, t := range p.targets {
-		t.reportedFlows = 0
+		t.reported = Load{}
 	}
 	for _, r := range p.reports {
 		for _, l := range r.loads {
 			if t := p.targets[l.Target]; t != nil {
-				t.reportedFlows += l.Flows
+				t.reported.Requests += l.Requests
+				t.reported.Expected += l.Expected
 			}
 		}
 	}
--- a/internal/hsschema/hsschemaconnect/feed.connect.go
+++ b/internal/hsschema/hsschemaconnect/feed.connect.go
@@ -2,7 +2,8 @@
 //
 // Source: feed.proto
 
-// Published state of a direct-return deployment, as entry hosts pass it on.
+// Published state of a deployment with direct server return (DSR), in the form
+// in which entry hosts send it to one another.
 package hsschemaconnect
 
 import (
