hsplace: use the target with the least load if the cheapest one is full

Cause: Choose compared targets mostly by this host's own requests, and then reported an overload if the chosen one was full by the requests of other hosts, although another target had a free slot. Change: if the cheapest target exceeds the limit, the one with the lowest total load is used. Test: TestFreeSlotIsUsed fails without the change.

--- a/internal/hsplace/place.go
+++ b/internal/hsplace/place.go
@@ -71,6 +71,8 @@
 		reports map[string]report
 		// By name. Zones are never removed, since there are few.
 		zones map[string]*zone
+		// Buffer of candidates.
+		eligible []*target
 	}
 
 	target struct {
@@ -287,13 +289,18 @@
 }
 
 // Choose returns the target for a new flow of a service, or FlowOverload if the
-// utilization of even the best target would exceed maxUtilization.
+// utilization of all targets would exceed maxUtilization, as far as this host
+// knows their load.
 func (p *Placer) Choose(now time.Time, service string, maxUtilization float64) (Choice, hscode.Code) {
 	pool := p.pools[service]
 	if len(pool) == 0 {
 		return Choice{}, hscode.FlowNoTarget
 	}
-	best, ejected := p.lowestCost(now, pool)
+	candidates, ejected := p.candidates(now, pool)
+	best := p.lowest(candidates, func(t *target) float64 { return t.cost(now) })
+	if best.totalUtilization(now) > maxUtilization {
+		best = p.lowest(candidates, func(t *target) float64 { return t.totalUtilization(now) })
+	}
 	ch := Choice{
 		Target:           best.record.ID,
 		OwnRequests:      best.own.Requests,
@@ -309,35 +316,42 @@
 	return ch, hscode.OK
 }
 
-// lowestCost returns the target of lowest cost, chosen at random among equals,
-// and the number of ejected targets. Ejected targets are excluded, unless all
-// are ejected: the cause may then be in this host.
-func (p *Placer) lowestCost(now time.Time, pool []*target) (*target, int) {
-	ejected := 0
+// candidates returns the targets of a pool that are not ejected, and the number
+// of ejected ones. If all are ejected, it returns all: the cause may then be in
+// this host. The result is valid until the next call.
+func (p *Placer) candidates(now time.Time, pool []*target) ([]*target, int) {
+	p.eligible = p.eligible[:0]
 	for _, t := range pool {
-		if !t.eligible(now) {
-			ejected++
+		if t.eligible(now) {
+			p.eligible = append(p.eligible, t)
 		}
 	}
+	ejected := len(pool) - len(p.eligible)
+	if len(p.eligible) == 0 {
+		return pool, ejected
+	}
+	return p.eligible, ejected
+}
+
+// lowest returns the target with the lowest value, chosen at random among
+// equals.
+func (p *Placer) lowest(list []*target, value func(t *target) float64) *target {
 	var best *target
-	minCost := 0.0
+	lowest := 0.0
 	ties := 0
-	for _, t := range pool {
-		if ejected < len(pool) && !t.eligible(now) {
-			continue
-		}
-		c := t.cost(now)
+	for _, t := range list {
+		v := value(t)
 		switch {
-		case best == nil || c < minCost:
-			best, minCost, ties = t, c, 1
-		case c == minCost:
+		case best == nil || v < lowest:
+			best, lowest, ties = t, v, 1
+		case v == lowest:
 			ties++
 			if p.rng.IntN(ties) == 0 {
 				best = t
 			}
 		}
 	}
-	return best, ejected
+	return best
 }
 
 // eligible reports whether the target may receive a new flow: neither the
--- a/internal/hsplace/place_test.go
+++ b/internal/hsplace/place_test.go
@@ -62,6 +62,22 @@
 	assert.Equal(t, code, hscode.OK)
 }
 
+// TestFreeSlotIsUsed checks that FlowOverload is returned only if no target has
+// room: a target with few requests of this host may be full by those of others,
+// while another one has a free slot.
+func TestFreeSlotIsUsed(t *testing.T) {
+	p := newPlacer(newRecord(1, "a"), newRecord(2, "a"))
+	p.ApplyReport(epoch, "h2", []Load{{Target: 1, Requests: 5}})
+	p.AddRequest(2)
+	p.AddRequest(2)
+	ch, code := p.Choose(epoch, "desk", 1)
+	assert.Equal(t, code, hscode.OK)
+	assert.Equal(t, ch.Target, hsfeed.TargetID(2))
+	p.AddRequest(2)
+	_, code = p.Choose(epoch, "desk", 1)
+	assert.Equal(t, code, hscode.FlowOverload)
+}
+
 // TestWarmUp checks that a target that has just started receives fewer flows.
 func TestWarmUp(t *testing.T) {
 	warmingUp := newRecord(1, "a")
