hsroster: tell a new host of the others with the first answered ping

The answer to a new host lists the members, but only if the host's first message was a ping. When the seeds start 0.1 s after the others, the first pings are lost, and the first message that arrives is a request for an indirect probe or a load report. Seen in a trial with a log line for each heartbeat. Ruled out: the seeds in the settings (all three alive), later lost messages. Change: the members are listed in the first answer to a ping of each boot, members of the host's own zone first and in random order, so that a zone after the first in the alphabet is listed too; other answers carry up to two. Test: TestSeedsStartLast fails without the change (7 readers in a zone).

--- a/internal/hsdirect/core_test.go
+++ b/internal/hsdirect/core_test.go
@@ -425,3 +425,31 @@
 		assert.Equal(t, reported, other.zone == "a", other.addr)
 	}
 }
+
+// TestSeedsStartLast checks that hosts find one another within seconds if all
+// start at the same time and the seeds a moment later, so that the first pings
+// to them are lost. Hosts that know no other host of their zone each read the
+// store.
+func TestSeedsStartLast(t *testing.T) {
+	zones := []string{"a", "b", "c"}
+	for range 7 {
+		zones = append(zones, "a", "b", "c", "d", "e")
+	}
+	for ticks := range 6 {
+		c := newCluster(t, zones...)
+		for _, h := range c.hosts {
+			h.running = false
+		}
+		for _, h := range c.hosts[3:] {
+			c.start(h)
+		}
+		c.advance(time.Duration(ticks) * TickInterval)
+		for _, h := range c.hosts[:3] {
+			c.start(h)
+		}
+		c.advanceWithLoads(4 * time.Second)
+		for _, zone := range []string{"a", "b", "c", "d", "e"} {
+			assert.Equal(t, c.readerCount(zone), 1, "zone %s, seeds start after %d ticks", zone, ticks)
+		}
+	}
+}
--- a/internal/hsroster/message.go
+++ b/internal/hsroster/message.go
@@ -19,14 +19,13 @@
 	if r.isOldBoot(now, m, hb) {
 		return r.out, hscode.PeerOldBoot
 	}
-	newBoot := hb.GetBoot() != m.boot
 	r.updateSender(now, m, hb)
 	r.handleRumors(now, hb)
 	switch hb.GetKind() {
 	case hsschema.Heartbeat_KIND_PING:
 		r.addHeartbeat(m.name, hsschema.Heartbeat_KIND_ACK, hb.GetSeq(), "")
-		if newBoot && r.cfg.MaxMembers > 0 {
-			r.addAliveRumors()
+		if r.cfg.MaxMembers > 0 {
+			r.introduceMembers(m)
 		}
 	case hsschema.Heartbeat_KIND_UPDATE, hsschema.Heartbeat_KIND_LOADS:
 	case hsschema.Heartbeat_KIND_ACK:
@@ -51,17 +50,27 @@
 	return r.cfg.MaxMembers == 0 || now.Sub(m.lastHeard) <= r.cfg.ProbeInterval+r.cfg.SuspectTimeout
 }
 
-// addAliveRumors adds rumors about the members that are alive to the last
-// heartbeat in the output, which answers a host that has just started.
-func (r *Roster) addAliveRumors() {
+// introduceMembers adds rumors about alive members to the last heartbeat in the
+// output, which answers a ping of m: many of them in the first answer since its
+// start, a few in any other one. Members in its zone come first, since it needs
+// to know these most. It may have missed the rumors of their start.
+func (r *Roster) introduceMembers(m *member) {
+	limit := maxAckIntroductions
+	if !m.introduced {
+		m.introduced = true
+		limit = maxNewBootRumors
+	}
 	hb := r.out.Heartbeats[len(r.out.Heartbeats)-1].Message
-	for _, name := range sortedKeys(r.members) {
-		m := r.members[name]
-		if len(hb.GetRumors()) >= maxNewBootRumors {
-			return
-		}
-		if m.state == Alive && m.boot > 0 {
-			hb.Rumors = append(hb.Rumors, &hsschema.Rumor{Host: name, Boot: m.boot, Refute: m.incarnation, State: rumorState(m.state)})
+	for _, sameZone := range []bool{true, false} {
+		for _, i := range r.rng.Perm(len(r.probeOrder)) {
+			if len(hb.GetRumors()) >= limit {
+				return
+			}
+			other := r.members[r.probeOrder[i]]
+			if other == nil || other == m || other.state != Alive || other.boot == 0 || (other.zone == m.zone) != sameZone {
+				continue
+			}
+			hb.Rumors = append(hb.Rumors, &hsschema.Rumor{Host: other.name, Boot: other.boot, Refute: other.incarnation, State: rumorState(other.state)})
 		}
 	}
 }
@@ -72,6 +81,7 @@
 	if hb.GetBoot() != m.boot {
 		m.boot = hb.GetBoot()
 		m.incarnation = 0
+		m.introduced = false
 		r.resetSpreadCounts()
 	}
 	m.lastHeard = now
--- a/internal/hsroster/roster.go
+++ b/internal/hsroster/roster.go
@@ -137,6 +137,9 @@
 		storeUnavailable bool
 		// True if the member is never removed, even if it is dead.
 		seed bool
+		// True once this host has answered a ping of the member's current boot
+		// with rumors about other members; see introduceMembers.
+		introduced bool
 	}
 
 	// probe is a ping from this host that is not answered yet.
@@ -182,6 +185,9 @@
 	// maxNewBootRumors is the maximum number of rumors in the answer to a host
 	// that has just started, so that the message fits into one packet.
 	maxNewBootRumors = 32
+	// maxAckIntroductions is the maximum number of rumors in other acks up to
+	// which rumors about alive members are added, where there is no host list.
+	maxAckIntroductions = 2
 	// deadRetention is the time for which a dead member is kept and probed where
 	// there is no host list. After a longer partition, hosts find each other
 	// again through the seeds.
