hsdirect: batch changes of the store for a sixth of the apply deadline

Cause: readers called up to four times a second while targets changed, with up to 6 s to apply a change. Change: the pause after a call that returned changes is a sixth of the deadline instead of 0.25 s; the wait of a watch is shorter by as much, so that the bound for a dead connection stays.

--- a/internal/hsdirect/reader.go
+++ b/internal/hsdirect/reader.go
@@ -35,10 +35,6 @@
 )
 
 const (
-	// minWatchInterval is the minimum time from a call that returned changes to
-	// the next call, so that a series of changes costs only a few calls per
-	// second. It is a twelfth of defaultApplyDeadline.
-	minWatchInterval = 250 * time.Millisecond
 	// minBackoff is the delay after a first failure: many times the store's usual
 	// response time.
 	minBackoff = 100 * time.Millisecond
@@ -114,7 +110,7 @@
 	r.seenRevision = u.Revision
 	r.sendToControl(ctx, controlMessage{update: &u})
 	if len(u.Events) > 0 {
-		hstask.Sleep(ctx, minWatchInterval)
+		hstask.Sleep(ctx, r.e.cfg.Settings.watchInterval())
 	}
 }
 
--- a/internal/hsdirect/settings.go
+++ b/internal/hsdirect/settings.go
@@ -45,6 +45,10 @@
 	// listing the store again after a watch that returned nothing: the timeout of
 	// a call and some tens of milliseconds.
 	applyMargin = time.Second
+	// watchIntervalDivisor and minWatchInterval determine the time between calls
+	// while the store changes.
+	watchIntervalDivisor = 6
+	minWatchInterval     = 250 * time.Millisecond
 	// minWatchWait is the minimum duration of a watch; it limits the rate of calls
 	// while the store is idle.
 	minWatchWait = 500 * time.Millisecond
@@ -73,10 +77,19 @@
 	return d
 }
 
-// watchWait returns the duration of a watch. If the watch's connection went
-// dead, the watch ends after this time, early enough to apply a configuration
-// within ApplyDeadline.
-func (s *Settings) watchWait() time.Duration { return max(s.ApplyDeadline-applyMargin, minWatchWait) }
+// watchInterval returns the minimum time from a call that returned changes to
+// the next call, so that a series of changes costs few calls: a change may wait
+// for a sixth of ApplyDeadline.
+func (s *Settings) watchInterval() time.Duration {
+	return max(s.ApplyDeadline/watchIntervalDivisor, minWatchInterval)
+}
+
+// watchWait returns the duration of a watch. If the connection went dead after
+// a watch that returned changes, the next one ends after this time, early
+// enough to apply a configuration within ApplyDeadline.
+func (s *Settings) watchWait() time.Duration {
+	return max(s.ApplyDeadline-s.watchInterval()-applyMargin, minWatchWait)
+}
 
 // unlistedGracePeriod returns the grace period: the time for which a target
 // that is no longer listed still takes new flows, unless it announced that it
