--- a/internal/hsdirect/peer.go
+++ b/internal/hsdirect/peer.go
@@ -25,10 +25,10 @@
 }
 
 const (
-	// callTimeout limits the duration of a call to a peer. It is many round trips,
-	// but a fraction of the time in which a configuration has to be applied, so
-	// that there is time to call another peer.
-	callTimeout = 600 * time.Millisecond
+	// progressTimeout limits the time without progress in a call to a peer. It is
+	// many round trips, but a fraction of the time in which a configuration has to
+	// be applied, so that there is time to call another peer.
+	progressTimeout = 600 * time.Millisecond
 	// maxConcurrentCalls limits the concurrent calls. There are several, so that a
 	// call to a peer that does not respond does not delay the others.
 	maxConcurrentCalls = 3
@@ -38,7 +38,7 @@
 func (e *EntryHost) runFetcher(ctx context.Context) error {
 	// Keep-alive is off: calls are rare, and an idle connection may have gone dead
 	// unnoticed.
-	client := &http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	client := &hshttp.Client{HTTP: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, Progress: progressTimeout}
 	g, ctx := errgroup.WithContext(ctx)
 	g.SetLimit(maxConcurrentCalls)
 	for {
@@ -54,7 +54,7 @@
 	}
 }
 
-func (e *EntryHost) fetchChanges(ctx context.Context, client *http.Client, f Fetch) {
+func (e *EntryHost) fetchChanges(ctx context.Context, client *hshttp.Client, f Fetch) {
 	u, err := e.callFollow(ctx, client, f)
 	if err != nil {
 		if ctx.Err() == nil {
@@ -73,7 +73,7 @@
 
 // callFollow calls Follow on a peer. It returns nil if the peer has nothing
 // newer.
-func (e *EntryHost) callFollow(ctx context.Context, client *http.Client, f Fetch) (*hsfeed.Update, error) {
+func (e *EntryHost) callFollow(ctx context.Context, client *hshttp.Client, f Fetch) (*hsfeed.Update, error) {
 	url := "http://" + netip.AddrPortFrom(f.From, e.cfg.Settings.PeerPort).String()
 	req := connect.NewRequest(&hsschema.FollowRequest{Since: f.Since})
 	res, err := hsschemaconnect.NewFeedClient(client, url).Follow(ctx, req)
--- a/internal/hshttp/hshttp.go
+++ b/internal/hshttp/hshttp.go
@@ -1,5 +1,5 @@
-// Package hshttp runs HTTP servers until their context ends, and sends GET
-// requests with a limit on the size of the response.
+// Package hshttp runs HTTP servers until their context ends, and sends requests
+// with limits on the size of the response and on the time without progress.
 package hshttp
 
 import (
@@ -20,6 +20,10 @@
 	// idleTimeout is the time after which a connection without requests is
 	// closed: a client that lost power does not close its connections.
 	idleTimeout = 30 * time.Second
+	// maxCallTime is the time limit of a call of a Client that makes progress,
+	// in addition to the time for which the server may wait. A response of 1 MB
+	// takes 4 s at 2 Mbit/s.
+	maxCallTime = 20 * time.Second
 )
 
 // Serve serves HTTP requests on l until ctx ends. It then closes l and all
@@ -42,6 +46,73 @@
 	return g.Wait()
 }
 
+// Client sends requests and gives one up if its response makes no progress. The
+// time that a response takes depends on its size and the bandwidth, so that a
+// limit on the whole time would either detect dead connections late or abort
+// large responses on slow links again and again.
+type Client struct {
+	HTTP *http.Client
+	// Time limit until the header of a response, and between two reads of the
+	// body that return data.
+	Progress time.Duration
+}
+
+// Do implements connect.HTTPClient.
+func (c *Client) Do(req *http.Request) (*http.Response, error) { return c.do(req, 0) }
+
+// Get sends a GET request like the function Get. The server may wait for the
+// given time before it responds.
+func (c *Client) Get(ctx context.Context, url string, limit int64, wait time.Duration) (Response, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
+	if err != nil {
+		return Response{}, errors.Trace(err)
+	}
+	res, err := c.do(req, wait)
+	if err != nil {
+		return Response{}, errors.Trace(err)
+	}
+	return readResponse(res, limit)
+}
+
+func (c *Client) do(req *http.Request, wait time.Duration) (*http.Response, error) {
+	ctx, cancel := context.WithTimeout(req.Context(), wait+maxCallTime)
+	timer := time.AfterFunc(wait+c.Progress, cancel)
+	res, err := c.HTTP.Do(req.WithContext(ctx))
+	if err != nil {
+		timer.Stop()
+		cancel()
+		return nil, err //nolint:wrapcheck // connect examines the errors of its client
+	}
+	timer.Reset(c.Progress)
+	res.Body = &progressBody{ReadCloser: res.Body, timer: timer, cancel: cancel, limit: c.Progress}
+	return res, nil
+}
+
+// progressBody is a response body that cancels its request after a time without
+// progress.
+type progressBody struct {
+	io.ReadCloser
+	timer  *time.Timer
+	cancel context.CancelFunc
+	limit  time.Duration
+}
+
+// Read implements io.Reader.
+func (b *progressBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if n > 0 {
+		b.timer.Reset(b.limit)
+	}
+	return n, err //nolint:wrapcheck // io.EOF has to stay as it is
+}
+
+// Close implements io.Closer.
+func (b *progressBody) Close() error {
+	b.timer.Stop()
+	b.cancel()
+	return b.ReadCloser.Close() //nolint:wrapcheck // a plain pass-through
+}
+
 // Response is the response to a request.
 type Response struct {
 	Status int
@@ -62,6 +133,11 @@
 	if err != nil {
 		return Response{}, errors.Trace(err)
 	}
+	return readResponse(res, limit)
+}
+
+// readResponse reads at most limit+1 bytes of the response body and closes it.
+func readResponse(res *http.Response, limit int64) (Response, error) {
 	// If the body was not read to its end, closing it drops the connection. The
 	// response is not affected, so the error is ignored.
 	defer func() { _ = res.Body.Close() }()
