hsdirect: three faults found by reading

- A host that lost the reader role while the store lagged behind a peer took the store for unavailable one tick after it regained the role (TestRegainedReaderRole).
- Log lines of ejections had the key 'time' twice; the duration is now 'for' (TestEjectionLine).

--- a/internal/hsdirect/core.go
+++ b/internal/hsdirect/core.go
@@ -285,10 +285,13 @@
 	}
 	remote := 0
 	for _, p := range c.roster.Peers() {
+		if !p.Alive {
+			continue
+		}
 		if p.Zone != c.cfg.Zone {
 			remote++
 		}
-		if p.Alive && (p.Zone == c.cfg.Zone || remote <= maxPushPeers) {
+		if p.Zone == c.cfg.Zone || remote <= maxPushPeers {
 			c.send(p.Name, hb)
 		}
 	}
--- a/internal/hsdirect/core_test.go
+++ b/internal/hsdirect/core_test.go
@@ -2,13 +2,17 @@
 
 import (
 	"net/netip"
+	"regexp"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/phuslu/log"
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
+	"heatherstack.org/heatherstack/internal/hscookie"
 	"heatherstack.org/heatherstack/internal/hsfeed"
 	"heatherstack.org/heatherstack/internal/hsplace"
 	"heatherstack.org/heatherstack/internal/hsschema"
@@ -453,3 +457,66 @@
 		}
 	}
 }
+
+// TestPushSkipsDeadPeers checks that dead peers in other zones do not use up
+// the limit of peers that get a change at once.
+func TestPushSkipsDeadPeers(t *testing.T) {
+	zones := []string{"a"}
+	for range maxPushPeers + 4 {
+		zones = append(zones, "b")
+	}
+	c := newCluster(t, zones...)
+	c.advanceWithLoads(4 * time.Second)
+	reader := c.hosts[0]
+	for _, p := range reader.core.Peers()[:maxPushPeers] {
+		c.host(netip.MustParseAddr(p.Name)).running = false
+	}
+	c.advanceWithLoads(20 * time.Second)
+	u := hsfeed.Update{Since: c.store.Revision(), Revision: c.store.Revision() + 1, Events: []hsfeed.Event{{Revision: c.store.Revision() + 1, Removed: 9}}}
+	pushed := 0
+	for _, m := range reader.core.ApplyStoreUpdate(c.now, &u).Heartbeats {
+		if m.Message.GetKind() == hsschema.Heartbeat_KIND_UPDATE {
+			pushed++
+		}
+	}
+	assert.Equal(t, pushed, 4)
+}
+
+// TestRegainedReaderRole checks that a host which loses the reader role while
+// the store lags behind a peer, and regains the role later, does not take the
+// store for unavailable at once.
+func TestRegainedReaderRole(t *testing.T) {
+	c := newCluster(t, "a", "a", "b")
+	c.advanceWithLoads(3 * time.Second)
+	old := c.reader("a")
+	old.storeUp, old.detectsOutage = false, false
+	c.publish()
+	c.advanceWithLoads(TickInterval)
+	assert.Assert(t, !old.core.storeBehindSince.IsZero())
+	c.applyOutput(old, old.core.SetStoreAvailable(c.now, false))
+	other := c.hosts[0]
+	if other == old {
+		other = c.hosts[1]
+	}
+	old.core.leaving = true
+	c.applyOutput(old, old.core.Tick(c.now))
+	assert.Assert(t, !old.core.IsReader())
+	old.core.leaving = false
+	other.running = false
+	c.advanceWithLoads(2 * time.Second)
+	assert.Assert(t, old.core.IsReader())
+	assert.Assert(t, old.core.storeBehindSince.IsZero())
+}
+
+// TestEjectionLine checks that the log line of an ejection has each key once, so
+// that tools can read it.
+func TestEjectionLine(t *testing.T) {
+	var b strings.Builder
+	e := &EntryHost{cfg: Config{Logger: &log.Logger{Writer: &log.IOWriter{Writer: &b}}}}
+	l := &flowLogger{e: e}
+	l.tick(epoch, &hscookie.Core{Ejections: []hsplace.Ejection{{Target: 7, Zone: "a", Duration: time.Second}}})
+	keys := regexp.MustCompile(`"[a-z]+":`).FindAllString(b.String(), -1)
+	slices.Sort(keys)
+	assert.Equal(t, len(slices.Compact(slices.Clone(keys))), len(keys), "%v", keys)
+	assert.Assert(t, slices.Contains(keys, `"for":`))
+}
--- a/internal/hsdirect/elect.go
+++ b/internal/hsdirect/elect.go
@@ -43,6 +43,7 @@
 		return
 	}
 	c.reader = reader
+	c.storeBehindSince = time.Time{}
 	c.out.ReaderChanged = true
 	c.applyRosterOutput(now, c.roster.SetStoreUnavailable(now, c.storeUnavailable && reader))
 }
--- a/internal/hsdirect/record.go
+++ b/internal/hsdirect/record.go
@@ -77,7 +77,7 @@
 			l.e.log(log.WarnLevel, hscode.FlowUnanswered).
 				Uint64("target", uint64(ej.Target)).
 				Str("zone", ej.Zone).
-				Dur("time", ej.Duration).
+				Dur("for", ej.Duration).
 				Msg("ejected: opening packets were not answered")
 		}
 	}
--- a/internal/hshttp/hshttp.go
+++ b/internal/hshttp/hshttp.go
@@ -71,6 +71,9 @@
 	if err != nil {
 		return Response{}, errors.Trace(err)
 	}
+	// If the body was not read to its end, closing it drops the connection. The
+	// response is not affected, so the error is ignored.
+	defer func() { _ = res.Body.Close() }()
 	return readResponse(res, limit)
 }
 
@@ -133,14 +136,12 @@
 	if err != nil {
 		return Response{}, errors.Trace(err)
 	}
+	defer func() { _ = res.Body.Close() }()
 	return readResponse(res, limit)
 }
 
-// readResponse reads at most limit+1 bytes of the response body and closes it.
+// readResponse reads at most limit+1 bytes of the response body.
 func readResponse(res *http.Response, limit int64) (Response, error) {
-	// If the body was not read to its end, closing it drops the connection. The
-	// response is not affected, so the error is ignored.
-	defer func() { _ = res.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(res.Body, limit+1))
 	if err != nil {
 		return Response{}, errors.Trace(err)
