hsroster: keep the members sorted instead of sorting them for each message

Change: the sorted list is kept until a member is added or removed. The order of all messages stays.

--- a/internal/hsdirect/core_test.go
+++ b/internal/hsdirect/core_test.go
@@ -520,3 +520,20 @@
 	assert.Equal(t, len(slices.Compact(slices.Clone(keys))), len(keys), "%v", keys)
 	assert.Assert(t, slices.Contains(keys, `"for":`))
 }
+
+// BenchmarkTick measures the periodic work of a host that knows 294 others: a
+// tick and a load report.
+func BenchmarkTick(b *testing.B) {
+	core := NewCore(CoreConfig{Self: netip.MustParseAddr("10.0.0.1"), Zone: "a", Boot: 1})
+	for i := range 294 {
+		from := netip.AddrFrom4([4]byte{10, 1, byte(i / 100), byte(i%100 + 1)})
+		core.Receive(epoch, &hsschema.Heartbeat{Kind: hsschema.Heartbeat_KIND_LOADS, From: from.String(), Boot: 1, Zone: string(rune('a' + i%5))}, from)
+	}
+	report := &LocalReport{Loads: []hsplace.Load{{Target: 1, Requests: 2}}}
+	now := epoch
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		core.Tick(now)
+		core.ReportLoads(now, report)
+	}
+}
--- a/internal/hsroster/message.go
+++ b/internal/hsroster/message.go
@@ -235,8 +235,8 @@
 // if any, and the state changes that were repeated least often so far.
 func (r *Roster) pickRumors() []*hsschema.Rumor {
 	var pending []*member
-	for _, name := range sortedKeys(r.members) {
-		if m := r.members[name]; m.spreadCount < maxSpreads {
+	for _, m := range r.sortedMembers() {
+		if m.spreadCount < maxSpreads {
 			pending = append(pending, m)
 		}
 	}
--- a/internal/hsroster/roster.go
+++ b/internal/hsroster/roster.go
@@ -85,6 +85,8 @@
 		rng *rand.Rand
 		// All members except this host, by name.
 		members map[string]*member
+		// All members, sorted by name; nil after a member was added or removed.
+		sorted []*member
 		// Names of members in the order in which they are probed.
 		probeOrder []string
 		// Index in probeOrder of the member to probe next.
@@ -216,11 +218,13 @@
 			continue
 		}
 		r.members[h.Name] = &member{name: h.Name, state: Alive, stateSince: now, lastHeard: now, spreadCount: maxSpreads}
+		r.sorted = nil
 		r.out.MembershipChanged = true
 	}
 	for name := range r.members {
 		if !listed[name] {
 			delete(r.members, name)
+			r.sorted = nil
 			r.out.MembershipChanged = true
 		}
 	}
@@ -243,10 +247,9 @@
 // Peers returns the members, sorted by name.
 func (r *Roster) Peers() []Peer {
 	out := make([]Peer, 0, len(r.members))
-	for _, name := range sortedKeys(r.members) {
-		m := r.members[name]
+	for _, m := range r.sortedMembers() {
 		out = append(out, Peer{
-			Name: name,
+			Name: m.name,
 			Zone: m.zone,
 			// A member that has never sent a heartbeat may not exist.
 			Alive:            m.boot > 0 && (m.state == Alive || m.state == Suspect),
@@ -287,6 +290,7 @@
 	}
 	m := &member{name: name, state: Alive, stateSince: now, lastHeard: now}
 	r.members[name] = m
+	r.sorted = nil
 	r.probeOrder = append(r.probeOrder, name)
 	r.out.MembershipChanged = true
 	return m
@@ -301,6 +305,7 @@
 	for name, m := range r.members {
 		if m.state == Dead && !m.seed && now.Sub(m.stateSince) > deadRetention {
 			delete(r.members, name)
+			r.sorted = nil
 		}
 	}
 }
@@ -523,8 +528,7 @@
 // members at once, so that they do not have to detect the failure themselves.
 func (r *Roster) checkSuspects(now time.Time) {
 	died := false
-	for _, name := range sortedKeys(r.members) {
-		m := r.members[name]
+	for _, m := range r.sortedMembers() {
 		if m.state != Suspect {
 			continue
 		}
@@ -536,7 +540,7 @@
 		// Ping the suspect on every tick, so that it is not declared dead
 		// because a lossy link dropped a few messages.
 		r.seq++
-		r.addHeartbeat(name, hsschema.Heartbeat_KIND_PING, r.seq, "")
+		r.addHeartbeat(m.name, hsschema.Heartbeat_KIND_PING, r.seq, "")
 	}
 	if died {
 		r.notifyMembers(now)
@@ -556,6 +560,19 @@
 	m.spreadCount = 0
 }
 
+// sortedMembers returns all members, sorted by name. The result is valid until a
+// member is added or removed.
+func (r *Roster) sortedMembers() []*member {
+	if r.sorted == nil {
+		r.sorted = make([]*member, 0, len(r.members))
+		for _, m := range r.members {
+			r.sorted = append(r.sorted, m)
+		}
+		slices.SortFunc(r.sorted, func(a, b *member) int { return cmp.Compare(a.name, b.name) })
+	}
+	return r.sorted
+}
+
 func rankingState(s State) State {
 	if s == Suspect {
 		return Alive
