hsmodel: callers that keep flows open, released targets and router changes

The model plays requests on kept flows, with data and acknowledgements, the release of targets and a change of the routers, which moves flows.

--- a/internal/hsmodel/endpoints.go
+++ b/internal/hsmodel/endpoints.go
@@ -18,15 +18,30 @@
 		done         bool
 		// True if the last attempt was refused.
 		lastRefused bool
+		// True if the caller uses a kept flow of its zone, if one is idle.
+		kept bool
 	}
 
-	// attempt is one attempt of a caller, on a flow of its own.
+	// attempt is one attempt of a caller, on a flow of its own or on a kept
+	// flow.
 	attempt struct {
-		c          *caller
+		c *caller
+		*flow
+		opened bool
+		ended  bool
+	}
+
+	// flow is the caller's end of a flow.
+	flow struct {
 		callerAddr netip.AddrPort
 		host       *host
-		opened     bool
-		ended      bool
+		// Target of an open flow.
+		target *target
+		// Sequence number after the data sent, and acknowledgement number.
+		seq uint32
+		ack uint32
+		// True if the flow stays open for further requests after an answer.
+		kept bool
 	}
 
 	// target is a target of the model.
@@ -36,6 +51,9 @@
 		zone int
 		// True if the target is unresponsive during the burst.
 		unresponsive bool
+		// True once the target has been released: it closes each flow after its
+		// answer and gets no new ones.
+		left bool
 		// Number of occupied slots, queued requests, and number of requests
 		// that were started.
 		busySlots int
@@ -44,6 +62,16 @@
 	}
 )
 
+const (
+	// requestSize and answerSize are the sizes in bytes of a request and of the
+	// part of an answer that the caller acknowledges first.
+	requestSize = 300
+	answerSize  = 2400
+	// retransmissionTime is the time after which the data of a request that did
+	// not arrive is sent again; it doubles each time.
+	retransmissionTime = 200 * time.Millisecond
+)
+
 var (
 	sendTimes      = []time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond}
 	attemptTimeout = 1400 * time.Millisecond
@@ -62,20 +90,79 @@
 	}
 	c.attemptsLeft--
 	sim := c.sim
+	if left := sim.cfg.Deadline - (sim.now - c.sent); left > 0 {
+		sim.schedule(left, c.fail)
+	}
+	if f := sim.takeIdleFlow(c); f != nil {
+		a := &attempt{c: c, flow: f, opened: true}
+		a.sendRequest(retransmissionTime)
+		return
+	}
 	sim.lastPort++
 	hosts := sim.hostsByZone[c.zone]
-	a := &attempt{
-		c:          c,
+	a := &attempt{c: c, flow: &flow{
 		callerAddr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, byte(c.zone), byte(sim.rng.IntN(250))}), sim.lastPort),
 		host:       hosts[sim.rng.IntN(len(hosts))],
-	}
+		kept:       c.kept && sim.keptFlows[c.zone] < sim.cfg.KeptFlows,
+	}}
 	for i, after := range sendTimes {
 		sim.schedule(after+oneWayDelay, func() { a.arrive(uint32(i)) })
 	}
 	sim.schedule(attemptTimeout, a.timeOut)
-	if left := sim.cfg.Deadline - (sim.now - c.sent); left > 0 {
-		sim.schedule(left, c.fail)
+}
+
+// takeIdleFlow returns an idle kept flow for a caller that uses kept flows, or
+// nil if there is none, or if the zone has fewer kept flows than configured.
+// Flows to targets that have left were closed by these.
+func (sim *simulation) takeIdleFlow(c *caller) *flow {
+	if !c.kept || sim.keptFlows[c.zone] < sim.cfg.KeptFlows {
+		return nil
 	}
+	idle := &sim.idleFlows[c.zone]
+	for len(*idle) > 0 {
+		i := sim.rng.IntN(len(*idle))
+		f := (*idle)[i]
+		(*idle)[i] = (*idle)[len(*idle)-1]
+		*idle = (*idle)[:len(*idle)-1]
+		if !f.target.left {
+			return f
+		}
+		sim.keptFlows[c.zone]--
+	}
+	return nil
+}
+
+// sendRequest sends the data of a request on an open flow through the flow's
+// host, again after the given time if the host does not run.
+func (a *attempt) sendRequest(retryAfter time.Duration) {
+	if a.ended || a.c.done {
+		return
+	}
+	if !a.host.running {
+		a.c.sim.schedule(retryAfter, func() { a.sendRequest(2 * retryAfter) })
+		return
+	}
+	t := a.target
+	a.host.laterPacket(a, t, requestSize, false)
+	a.seq += requestSize
+	t.sim.schedule(2*oneWayDelay, func() { t.request(a) })
+}
+
+// received handles the arrival of the answer: the caller acknowledges it, and
+// closes the flow unless it keeps it.
+func (a *attempt) received(t *target) {
+	a.ack += answerSize
+	a.c.answered()
+	keep := a.kept && !t.left
+	t.sim.schedule(oneWayDelay, func() {
+		a.host.laterPacket(a, t, 0, !keep)
+		switch {
+		case keep:
+			t.sim.idleFlows[a.c.zone] = append(t.sim.idleFlows[a.c.zone], a.flow)
+		case a.kept:
+			t.sim.keptFlows[a.c.zone]--
+		}
+	})
 }
 
 // fail ends the request without an answer.
@@ -140,8 +227,11 @@
 			return
 		}
 		a.opened = true
-		a.host.laterPacket(a, t, false)
-		t.sim.schedule(oneWayDelay, func() { t.request(a) })
+		a.target = t
+		if a.kept {
+			t.sim.keptFlows[a.c.zone]++
+		}
+		a.sendRequest(retransmissionTime)
 	})
 }
 
@@ -155,7 +245,10 @@
 		t.queue = append(t.queue, a)
 	default:
 		t.sim.schedule(2*oneWayDelay, func() {
-			a.host.laterPacket(a, t, true)
+			a.host.laterPacket(a, t, 0, true)
+			if a.kept {
+				t.sim.keptFlows[a.c.zone]--
+			}
 			a.end(true)
 		})
 	}
@@ -166,10 +259,7 @@
 	t.served++
 	t.sim.schedule(a.c.workTime, func() {
 		t.busySlots--
-		t.sim.schedule(oneWayDelay, func() {
-			a.c.answered()
-			t.sim.schedule(oneWayDelay, func() { a.host.laterPacket(a, t, true) })
-		})
+		t.sim.schedule(oneWayDelay, func() { a.received(t) })
 		if len(t.queue) > 0 {
 			next := t.queue[0]
 			t.queue = t.queue[1:]
--- a/internal/hsmodel/model.go
+++ b/internal/hsmodel/model.go
@@ -52,6 +52,17 @@
 		Deadline         time.Duration
 		// Attempts after the first one.
 		Retries int
+		// Share of the requests whose callers keep flows open, and number of such
+		// flows per zone. A request opens a flow until its zone has that many, and
+		// is then sent on an idle one if there is one.
+		KeptShare float64
+		KeptFlows int
+		// Number of targets that are released in the middle of the load, one
+		// every second, and replaced by new ones; their kept flows are closed.
+		ReleasedTargets int
+		// True if the routers change in the middle of the load, which moves all
+		// kept flows to other hosts.
+		RouterChange bool
 	}
 
 	// Result counts the outcomes of requests: Asked is the number of requests,
@@ -93,9 +104,13 @@
 		hostsByZone [][]*host
 		hosts       []*host
 		targets     []*target
-		lastPort    uint16
-		windows     []window
-		result      Result
+		// Kept flows without a request in progress, by zone.
+		idleFlows [][]*flow
+		// Number of open kept flows by zone.
+		keptFlows []int
+		lastPort  uint16
+		windows   []window
+		result    Result
 	}
 
 	// window counts the requests that callers sent in one windowLength, and
@@ -156,6 +171,7 @@
 	}
 	sim.build()
 	sim.scheduleOutage()
+	sim.schedulePlannedWork()
 	sim.schedule(0, sim.startRequest)
 	for len(sim.events) > 0 {
 		e := heap.Pop(&sim.events).(event) //nolint:forcetypeassert // the heap holds events only
@@ -174,6 +190,8 @@
 	for i := range sim.cfg.UnresponsiveTargets {
 		sim.targets[i*len(sim.targets)/max(sim.cfg.UnresponsiveTargets, 1)].unresponsive = true
 	}
+	sim.idleFlows = make([][]*flow, len(sim.cfg.Hosts))
+	sim.keptFlows = make([]int, len(sim.cfg.Hosts))
 	for zone, n := range sim.cfg.Hosts {
 		var list []*host
 		for range n {
@@ -203,12 +221,43 @@
 	}
 }
 
+// schedulePlannedWork schedules the release of targets and the change of the
+// routers.
+func (sim *simulation) schedulePlannedWork() {
+	middle := sim.cfg.Duration / 2
+	for i := range sim.cfg.ReleasedTargets {
+		sim.schedule(middle+time.Duration(i)*time.Second, func() { sim.release(sim.targets[i]) })
+	}
+	if sim.cfg.RouterChange {
+		sim.schedule(middle, sim.changeRouters)
+	}
+}
+
+// release replaces a target by a new one in the same zone.
+func (sim *simulation) release(old *target) {
+	old.left = true
+	sim.targets = append(sim.targets, &target{sim: sim, id: len(sim.targets) + 1, zone: old.zone})
+	for _, h := range sim.hosts {
+		h.targetsChanged()
+	}
+}
+
+// changeRouters moves all idle kept flows to hosts chosen at random.
+func (sim *simulation) changeRouters() {
+	for zone, flows := range sim.idleFlows {
+		for _, f := range flows {
+			f.host = sim.hostsByZone[zone][sim.rng.IntN(len(sim.hostsByZone[zone]))]
+		}
+	}
+}
+
 // startRequest creates the caller of a request and schedules the next request.
 func (sim *simulation) startRequest() {
 	if sim.now >= sim.cfg.Duration {
 		return
 	}
 	c := &caller{sim: sim, zone: sim.rng.IntN(len(sim.hostsByZone)), sent: sim.now, attemptsLeft: sim.cfg.Retries + 1}
+	c.kept = sim.cfg.KeptShare > 0 && sim.rng.Float64() < sim.cfg.KeptShare
 	c.workTime = time.Duration(float64(sim.cfg.MeanWorkTime) * math.Exp(workSigma*sim.rng.NormFloat64()-workSigma*workSigma/2))
 	sim.result.Asked++
 	sim.windows[sim.now/windowLength].sent++
--- a/internal/hsmodel/model_test.go
+++ b/internal/hsmodel/model_test.go
@@ -113,3 +113,52 @@
 	WriteRow(&b, 2.4, &Result{Policy: "product", Asked: 200, InAim: 100, Late: 50, Refused: 30, Failed: 20, Worst: 0.5, Imbalance: 1.25})
 	golden.Assert(t, b.String(), "table.golden")
 }
+
+// keptConfig returns a load at half of the targets' capacity, most of it from
+// callers that keep flows open, as on a deployment with 30 ms a request and two
+// slots a target. Targets are released and the routers change in its middle.
+func keptConfig(burst float64, p Policy) Config {
+	cfg := CheckInConfig(1, burst, p)
+	cfg.Slots = 2
+	cfg.MeanWorkTime = 30 * time.Millisecond
+	cfg.LatencyObjective = 150 * time.Millisecond
+	cfg.Deadline = 2500 * time.Millisecond
+	cfg.KeptShare = 0.7
+	cfg.KeptFlows = 100
+	cfg.ReleasedTargets = 5
+	cfg.RouterChange = true
+	cfg.Rate = 470
+	return cfg
+}
+
+// TestKeptFlows checks that under a load with callers that keep flows open, and
+// others that do not, nearly all requests are answered within the latency
+// objective and none is refused, while targets are released and flows move to
+// other hosts. Counted as load, open flows made targets appear full: opening
+// packets were held until their callers gave up.
+func TestKeptFlows(t *testing.T) {
+	r := simulateSeeds(keptConfig(1, ProductPolicy))
+	assert.Assert(t, share(r.InAim, r.Asked) > 0.99, "%+v", r)
+	assert.Equal(t, r.Refused+r.Failed, 0, "%+v", r)
+}
+
+// TestKeptFlowsBurst checks that in a burst above the targets' capacity, kept
+// flows, whose requests reach their targets without being placed, and fresh
+// flows together get at least as many requests answered within the objective as
+// with a policy that never holds a flow.
+func TestKeptFlowsBurst(t *testing.T) {
+	product := simulateSeeds(keptConfig(2.4, ProductPolicy))
+	least := simulateSeeds(keptConfig(2.4, Policies[3]))
+	assert.Assert(t, product.InAim > least.InAim, "%+v against %+v", product, least)
+}
+
+// TestKeptFlowsOutage checks that after an outage of all hosts, kept flows and
+// fresh flows are served again: fewer requests go without an answer than were
+// sent during the outage.
+func TestKeptFlowsOutage(t *testing.T) {
+	const outage = 900 * time.Millisecond
+	cfg := keptConfig(1, ProductPolicy)
+	r := simulateSeeds(cfg.WithOutage(outage))
+	seeds := 3.0
+	assert.Assert(t, float64(r.Refused+r.Failed) < 0.1*seeds*cfg.Rate*outage.Seconds(), "%+v", r)
+}
--- a/internal/hsmodel/policy.go
+++ b/internal/hsmodel/policy.go
@@ -31,6 +31,7 @@
 		core *hscookie.Core
 		// For other policies: number of open flows by target, and target by
 		// flow.
+		// Released targets are counted as full.
 		openFlows    []int
 		targetByFlow map[netip.AddrPort]int
 		// Attempts by the caller's address, to find those whose held packets
@@ -39,14 +40,22 @@
 	}
 )
 
+// releasedLoad is the number of open flows that a simple policy counts at a
+// released target, so that it chooses another one.
+const releasedLoad = 1 << 30
+
 // ejectionReportLifetime is the time for which a host's report of an ejected
 // target is valid, as in zones of three hosts.
 const ejectionReportLifetime = 450 * time.Millisecond
 
 // Policies are the compared policies; the last one is ProductPolicy.
 var Policies = []Policy{
-	{Name: "random", Choose: func(rng *rand.Rand, _ uint64, open []int) int { return rng.IntN(len(open)) }},
-	{Name: "hash", Choose: func(_ *rand.Rand, hash uint64, open []int) int { return int(hash % uint64(len(open))) }},
+	{Name: "random", Choose: func(rng *rand.Rand, _ uint64, open []int) int {
+		return firstPresent(open, rng.IntN(len(open)))
+	}},
+	{Name: "hash", Choose: func(_ *rand.Rand, hash uint64, open []int) int {
+		return firstPresent(open, int(hash%uint64(len(open))))
+	}},
 	{Name: "two-choices", Choose: twoChoices},
 	{Name: "least-open", Choose: leastOpen},
 	ProductPolicy,
@@ -55,6 +64,14 @@
 // ProductPolicy places flows by the real core.
 var ProductPolicy = Policy{Name: "product"}
 
+// firstPresent returns the first target from i on that has not been released.
+func firstPresent(open []int, i int) int {
+	for open[i] >= releasedLoad {
+		i = (i + 1) % len(open)
+	}
+	return i
+}
+
 func twoChoices(rng *rand.Rand, _ uint64, open []int) int {
 	a, b := rng.IntN(len(open)), rng.IntN(len(open))
 	if open[b] < open[a] {
@@ -103,8 +120,9 @@
 	h.running = true
 	h.attempts = map[netip.AddrPort]*attempt{}
 	if sim.cfg.Policy.Choose != nil {
-		h.openFlows = make([]int, len(sim.targets))
+		h.openFlows = nil
 		h.targetByFlow = map[netip.AddrPort]int{}
+		h.targetsChanged()
 		return
 	}
 	h.core = hscookie.New(hscookie.Config{
@@ -116,13 +134,29 @@
 	h.core.SetConfiguration(clockTime(0), &hsfeed.Configuration{Version: 1, Routes: []hsfeed.Route{{
 		Address: serviceAddr, Shares: []hsfeed.Share{{Service: "desk", Weight: 1}}, LatencyObjective: sim.cfg.LatencyObjective, Timeout: sim.cfg.Deadline,
 	}}})
-	records := make([]hsfeed.TargetRecord, 0, len(sim.targets))
-	for _, t := range sim.targets {
+	h.targetsChanged()
+}
+
+// targetsChanged tells the host of the present targets.
+func (h *host) targetsChanged() {
+	if h.core == nil {
+		for range len(h.sim.targets) - len(h.openFlows) {
+			h.openFlows = append(h.openFlows, 0)
+		}
+		for i, t := range h.sim.targets {
+			if t.left {
+				h.openFlows[i] = releasedLoad
+			}
+		}
+		return
+	}
+	records := make([]hsfeed.TargetRecord, 0, len(h.sim.targets))
+	for _, t := range h.sim.targets {
 		records = append(records, hsfeed.TargetRecord{Target: hsfeed.Target{
-			ID: hsfeed.TargetID(t.id), Service: "desk", Zone: zoneName(t.zone), Slots: sim.cfg.Slots,
+			ID: hsfeed.TargetID(t.id), Service: "desk", Zone: zoneName(t.zone), Slots: h.sim.cfg.Slots, Draining: t.left,
 		}})
 	}
-	h.core.SetTargets(clockTime(0), records)
+	h.core.SetTargets(clockTime(h.sim.now), records)
 }
 
 // packet handles the arrival of an opening packet.
@@ -163,9 +197,9 @@
 	}
 }
 
-// laterPacket handles the arrival of a flow's packet after the opening one;
-// ends is true for the flow's last packet.
-func (h *host) laterPacket(a *attempt, t *target, ends bool) {
+// laterPacket handles the arrival of a flow's packet after the opening one, with
+// the given size of data; ends is true for the flow's last packet.
+func (h *host) laterPacket(a *attempt, t *target, size int, ends bool) {
 	if !h.running {
 		return
 	}
@@ -176,8 +210,10 @@
 		}
 		return
 	}
-	id := hsfeed.TargetID(t.id)
-	p := hscookie.Packet{From: a.callerAddr, To: serviceAddr, Flags: hscookie.FlagAck, Cookie: hscookie.NewCookie("desk", id)}
+	p := hscookie.Packet{
+		From: a.callerAddr, To: serviceAddr, Flags: hscookie.FlagAck, Cookie: hscookie.NewCookie("desk", hsfeed.TargetID(t.id)),
+		Seq: a.seq, Ack: a.ack, DataSize: size,
+	}
 	if ends {
 		p.Flags |= hscookie.FlagFin
 		delete(h.attempts, a.callerAddr)
