hscookie: an opening packet on a port in use again opens a new flow

Cause: an opening packet of a tracked flow was taken for a retransmission for as long as the flow was tracked, two seconds after its last packet. If the flow's end had passed through another host and the caller used the port again, the new flow went to the old flow's target, draining or full as it may be. Change: it is a retransmission if it repeats the sequence number of the opening packet; if this host did not see that one, only if it says so itself. Tests: TestPortUsedAgain fails without the change; TestRetransmissionAfterMove, TestEjectedTargetKeepsFlows. Ruled out: placing every opening packet on a flow seen in its middle, which would place a flow twice.

--- a/internal/hscookie/admit.go
+++ b/internal/hscookie/admit.go
@@ -123,7 +123,7 @@
 		return Verdict{Action: Refuse, Code: code, Choice: ch}
 	}
 	d := c.targets.byID[ch.Target]
-	if c.addFlow(now, &h.key, h.hash, ch.Target, true) == nil {
+	if c.addOpenedFlow(now, &h.packet, &h.key, h.hash, ch.Target) == nil {
 		c.placer.DeferProbe(now, ch.Target)
 	}
 	c.Stats.Placed++
--- a/internal/hscookie/core.go
+++ b/internal/hscookie/core.go
@@ -255,7 +255,7 @@
 		}
 		return Verdict{Action: Refuse, Code: hscode.FlowNoService}
 	}
-	if f := c.flows.Get(key, hash); f != nil && !f.closed {
+	if f := c.flows.Get(key, hash); f != nil && f.isRetransmission(p) {
 		if d := c.targets.byID[f.target]; d != nil && r.hasService(d.service) {
 			c.Stats.Retransmits++
 			f.lastSeen = c.uptime(now)
--- a/internal/hscookie/flow.go
+++ b/internal/hscookie/flow.go
@@ -18,6 +18,8 @@
 		lastSeen  time.Duration
 		// Start of the request in progress, or of the pause since the last one.
 		since time.Duration
+		// Sequence number of the opening packet; valid if opened.
+		openSeq uint32
 		// Highest acknowledgement number of the caller; valid if ackKnown.
 		ack uint32
 		// Sequence number after the caller's last data; valid if dataKnown.
@@ -25,6 +27,8 @@
 		// Requests that are expected on the flow at any time, as counted at its
 		// target. Zero unless the flow is idle.
 		expected  float32
+		// True if the opening packet passed this host.
+		opened    bool
 		ackKnown  bool
 		dataKnown bool
 		// True until the caller's first packet after the opening one.
@@ -91,9 +95,23 @@
 	maxSweepEntries = 4096
 )
 
-// addFlow starts to track a flow and reports whether it did: it does not if the
-// maximum number of flows is tracked.
-func (c *Core) addFlow(now time.Time, key *hsflow.Key, hash uint64, id hsfeed.TargetID, isOpening bool) *flow {
+// addOpenedFlow starts to track the flow of an opening packet; see addFlow.
+func (c *Core) addOpenedFlow(now time.Time, p *Packet, key *hsflow.Key, hash uint64, id hsfeed.TargetID) *flow {
+	f := c.addFlow(now, key, hash, id)
+	if f == nil {
+		return nil
+	}
+	f.opened = true
+	f.openSeq = p.Seq
+	f.unanswered = true
+	c.startRequest(f, f.firstSeen)
+	c.unanswered.push(openingFlow{key: *key, hash: hash, openedAt: now})
+	return f
+}
+
+// addFlow starts to track a flow. It returns nil if the maximum number of flows
+// is tracked.
+func (c *Core) addFlow(now time.Time, key *hsflow.Key, hash uint64, id hsfeed.TargetID) *flow {
 	if old := c.flows.Get(key, hash); old != nil {
 		c.removeFlow(key, hash, old)
 	}
@@ -102,11 +120,7 @@
 	}
 	at := c.uptime(now)
 	f := c.flows.GetOrCreate(key, hash)
-	*f = flow{target: id, lastSeen: at, firstSeen: at, since: at, unanswered: isOpening}
-	if isOpening {
-		c.startRequest(f, at)
-		c.unanswered.push(openingFlow{key: *key, hash: hash, openedAt: now})
-	}
+	*f = flow{target: id, lastSeen: at, firstSeen: at, since: at}
 	return f
 }
 
@@ -122,7 +136,7 @@
 		if ends {
 			return
 		}
-		if f = c.addFlow(now, key, hash, d.id, false); f == nil {
+		if f = c.addFlow(now, key, hash, d.id); f == nil {
 			return
 		}
 		c.Stats.MidstreamFlows++
@@ -241,6 +255,21 @@
 	c.flows.Remove(key, hash)
 }
 
+// isRetransmission reports whether an opening packet repeats the one that opened
+// the flow. Otherwise the caller uses the port again for a new flow: the end of
+// the old one passed through another host. If the flow's opening packet passed
+// through another host, only its retransmissions are taken for what they say
+// they are.
+func (f *flow) isRetransmission(p *Packet) bool {
+	if f.closed {
+		return false
+	}
+	if f.opened {
+		return f.openSeq == p.Seq
+	}
+	return p.Retransmits > 0
+}
+
 // pause returns the time for which the flow has been idle, or 0 if a request is
 // in progress.
 func (f *flow) pause(at time.Duration) time.Duration {
--- a/internal/hscookie/flow_test.go
+++ b/internal/hscookie/flow_test.go
@@ -240,3 +240,58 @@
 	}
 	assert.Equal(t, c.Stats.Held, uint64(1))
 }
+
+// TestPortUsedAgain checks that an opening packet on a port that was in use a
+// moment ago opens a new flow: it is placed anew and does not go to the target
+// of the old flow, which is draining by now. A retransmission still does.
+func TestPortUsedAgain(t *testing.T) {
+	c := newCore(target(1, "desk"))
+	first := openPacket(callerWithPort(1), deskAddr)
+	first.Seq = 100
+	assert.Equal(t, c.HandlePacket(epoch, first).Target, hsfeed.TargetID(1))
+	c.HandlePacket(epoch, laterPacket(callerWithPort(1), deskAddr, NewCookie("desk", 1)))
+	draining := target(1, "desk")
+	draining.Draining = true
+	c.SetTargets(epoch, []hsfeed.TargetRecord{draining, target(2, "desk")})
+	now := epoch.Add(time.Second)
+	assert.Equal(t, c.HandlePacket(now, first).Target, hsfeed.TargetID(1))
+	second := openPacket(callerWithPort(1), deskAddr)
+	second.Seq = 70_000
+	assert.Equal(t, c.HandlePacket(now, second).Target, hsfeed.TargetID(2))
+	assert.Equal(t, requests(c), 1)
+}
+
+// TestRetransmissionAfterMove checks that a retransmitted opening packet which
+// arrives at another host than the first one, after later packets of the flow,
+// goes to the flow's target and is not placed a second time.
+func TestRetransmissionAfterMove(t *testing.T) {
+	c := newCore(target(1, "desk"), target(2, "desk"))
+	for id := hsfeed.TargetID(1); id <= 2; id++ {
+		from := callerWithPort(uint16(id))
+		c.HandlePacket(epoch, laterPacket(from, deskAddr, NewCookie("desk", id)))
+		p := openPacket(from, deskAddr)
+		p.Retransmits = 1
+		v := c.HandlePacket(epoch, p)
+		assert.Equal(t, v.Target, id)
+		assert.Assert(t, !v.Placed)
+	}
+}
+
+// TestEjectedTargetKeepsFlows checks that packets of open flows are still
+// forwarded to a target that does not answer opening packets: it may only be
+// slow, and its requests may be running.
+func TestEjectedTargetKeepsFlows(t *testing.T) {
+	c := newCore(target(1, "desk"), target(2, "desk"))
+	f := openKept(c, epoch, 1)
+	id := hsfeed.TargetID(1)
+	if f.cookie == NewCookie("desk", 2) {
+		id = 2
+	}
+	for range 4 {
+		c.placer.RecordUnanswered(epoch, id)
+	}
+	assert.DeepEqual(t, c.AppendEjected(epoch, nil), []hsfeed.TargetID{id})
+	v := c.HandlePacket(epoch, laterPacket(f.from, deskAddr, f.cookie))
+	assert.Equal(t, v.Action, Forward)
+	assert.Equal(t, v.Target, id)
+}
