--- a/internal/hscookie/flow.go
+++ b/internal/hscookie/flow.go
@@ -26,7 +26,7 @@
 		dataEnd uint32
 		// Requests that are expected on the flow at any time, as counted at its
 		// target. Zero unless the flow is idle.
-		expected  float32
+		expected float32
 		// True if the opening packet passed this host.
 		opened    bool
 		ackKnown  bool
