--- a/Makefile
+++ b/Makefile
@@ -50,9 +50,11 @@
 bench: ## run the benchmarks of the packet codec and of forwarding decisions
 	go test -run '^$$' -bench . -benchmem ./internal/hspacket ./internal/hsowner ./internal/hsrank ./internal/hsflow
 
-fuzz: ## fuzz both codecs for a minute each
+fuzz: ## fuzz the codecs, peers' messages and the store's items for a minute each
 	go test -run '^$$' -fuzz FuzzDecode -fuzztime 60s ./internal/hspacket
 	go test -run '^$$' -fuzz FuzzDecode -fuzztime 60s ./platform
+	go test -run '^$$' -fuzz FuzzItem -fuzztime 60s ./platform
+	go test -run '^$$' -fuzz FuzzReceive -fuzztime 60s ./internal/hsdirect
 
 faults: ## kill, pause and restart real hsentry processes under load
 	go test -count=1 -v -run TestProcesses ./internal/hslab -processes
--- a/internal/hscommand/commands.go
+++ b/internal/hscommand/commands.go
@@ -35,6 +35,7 @@
 		report       *time.Duration
 		unresponsive *int
 		outage       *time.Duration
+		kept         *bool
 		json         *bool
 	}
 
@@ -128,6 +129,7 @@
 		report:       p.Flag("report", "Time between two load reports of a host; 0s for none.").Default("200ms").Duration(),
 		unresponsive: p.Flag("dark", "Number of targets that are unresponsive in the middle third of the run.").Default("0").Int(),
 		outage:       p.Flag("outage", "Duration of an outage of all hosts in the middle of the run; 0s for none.").Default("0s").Duration(),
+		kept:         p.Flag("kept", "Send most requests over flows that stay open, and release targets in the middle of the run.").Bool(),
 		json:         p.Flag("json", "Write one JSON object per policy.").Bool(),
 	}
 	c.soak = newSoakFlags(app)
@@ -180,6 +182,9 @@
 	for _, burst := range *f.bursts {
 		for _, p := range hsmodel.Policies {
 			cfg := hsmodel.CheckInConfig(*f.seed, burst, p)
+			if *f.kept {
+				cfg = hsmodel.KeptFlowsConfig(*f.seed, burst, p)
+			}
 			cfg.ReportInterval = *f.report
 			cfg.UnresponsiveTargets = *f.unresponsive
 			if *f.outage > 0 {
--- a/internal/hsmodel/model.go
+++ b/internal/hsmodel/model.go
@@ -153,6 +153,24 @@
 	}
 }
 
+// KeptFlowsConfig returns the configuration of a service at half of its targets'
+// capacity that gets most of its requests over flows that callers keep open, and
+// the others on a flow each. Targets are released and the routers change in the
+// middle of the run.
+func KeptFlowsConfig(seed uint64, burst float64, p Policy) Config {
+	cfg := CheckInConfig(seed, burst, p)
+	cfg.Slots = 2
+	cfg.MeanWorkTime = 30 * time.Millisecond
+	cfg.LatencyObjective = 150 * time.Millisecond
+	cfg.Deadline = 2500 * time.Millisecond
+	cfg.Rate = 470
+	cfg.KeptShare = 0.7
+	cfg.KeptFlows = 100
+	cfg.ReleasedTargets = 5
+	cfg.RouterChange = true
+	return cfg
+}
+
 // WithOutage returns the configuration with an outage of all hosts for the time
 // d in the middle of the load.
 func (c Config) WithOutage(d time.Duration) Config {
--- a/internal/hsmodel/model_test.go
+++ b/internal/hsmodel/model_test.go
@@ -114,30 +114,13 @@
 	golden.Assert(t, b.String(), "table.golden")
 }
 
-// keptConfig returns a load at half of the targets' capacity, most of it from
-// callers that keep flows open, as on a deployment with 30 ms a request and two
-// slots a target. Targets are released and the routers change in its middle.
-func keptConfig(burst float64, p Policy) Config {
-	cfg := CheckInConfig(1, burst, p)
-	cfg.Slots = 2
-	cfg.MeanWorkTime = 30 * time.Millisecond
-	cfg.LatencyObjective = 150 * time.Millisecond
-	cfg.Deadline = 2500 * time.Millisecond
-	cfg.KeptShare = 0.7
-	cfg.KeptFlows = 100
-	cfg.ReleasedTargets = 5
-	cfg.RouterChange = true
-	cfg.Rate = 470
-	return cfg
-}
-
 // TestKeptFlows checks that under a load with callers that keep flows open, and
 // others that do not, nearly all requests are answered within the latency
 // objective and none is refused, while targets are released and flows move to
 // other hosts. Counted as load, open flows made targets appear full: opening
 // packets were held until their callers gave up.
 func TestKeptFlows(t *testing.T) {
-	r := simulateSeeds(keptConfig(1, ProductPolicy))
+	r := simulateSeeds(KeptFlowsConfig(1, 1, ProductPolicy))
 	assert.Assert(t, share(r.InAim, r.Asked) > 0.99, "%+v", r)
 	assert.Equal(t, r.Refused+r.Failed, 0, "%+v", r)
 }
@@ -147,8 +130,8 @@
 // flows together get at least as many requests answered within the objective as
 // with a policy that never holds a flow.
 func TestKeptFlowsBurst(t *testing.T) {
-	product := simulateSeeds(keptConfig(2.4, ProductPolicy))
-	least := simulateSeeds(keptConfig(2.4, Policies[3]))
+	product := simulateSeeds(KeptFlowsConfig(1, 2.4, ProductPolicy))
+	least := simulateSeeds(KeptFlowsConfig(1, 2.4, Policies[3]))
 	assert.Assert(t, product.InAim > least.InAim, "%+v against %+v", product, least)
 }
 
@@ -157,7 +140,7 @@
 // sent during the outage.
 func TestKeptFlowsOutage(t *testing.T) {
 	const outage = 900 * time.Millisecond
-	cfg := keptConfig(1, ProductPolicy)
+	cfg := KeptFlowsConfig(1, 1, ProductPolicy)
 	r := simulateSeeds(cfg.WithOutage(outage))
 	seeds := 3.0
 	assert.Assert(t, float64(r.Refused+r.Failed) < 0.1*seeds*cfg.Rate*outage.Seconds(), "%+v", r)
