hsdirect: a reader that pauses between calls does not take the store for unavailable

Cause: with changes of the store batched for up to a second, a reader of another zone could deliver a change during the pause; 0.3 s later this host took its connection to the store for dead, told its peers so, listed the store again, and another host became reader. Change: the limit counts from the end of the pause. Test: TestReaderPause fails without the change.

--- a/internal/hsdirect/control.go
+++ b/internal/hsdirect/control.go
@@ -100,10 +100,11 @@
 	c := &controller{
 		e: e,
 		core: NewCore(CoreConfig{
-			Self:  settings.DataAddr.Addr(),
-			Zone:  settings.Zone,
-			Boot:  e.cfg.Boot,
-			Seeds: settings.Seeds,
+			Self:          settings.DataAddr.Addr(),
+			Zone:          settings.Zone,
+			Boot:          e.cfg.Boot,
+			Seeds:         settings.Seeds,
+			WatchInterval: settings.watchInterval(),
 		}),
 		counts: map[hscode.Code]uint64{},
 	}
--- a/internal/hsdirect/core.go
+++ b/internal/hsdirect/core.go
@@ -22,6 +22,8 @@
 		Boot uint64
 		// Peers to contact first; some may be down or removed.
 		Seeds []netip.Addr
+		// Pause of the reader task between two calls to the store.
+		WatchInterval time.Duration
 	}
 
 	// Heartbeat is a message to be sent to a peer.
@@ -227,7 +229,7 @@
 }
 
 // applyPeerUpdate applies an update from a peer. If this host is a reader, the
-// store has to deliver the same changes within storeLagTimeout; see
+// store has to deliver the same changes soon; see
 // checkStoreLag.
 func (c *Core) applyPeerUpdate(now time.Time, u *hsfeed.Update) hscode.Code {
 	before := c.state.Revision()
--- a/internal/hsdirect/core_test.go
+++ b/internal/hsdirect/core_test.go
@@ -537,3 +537,20 @@
 		core.ReportLoads(now, report)
 	}
 }
+
+// TestReaderPause checks that a reader which pauses between two calls to the
+// store does not take the store for unavailable when a peer delivers a change
+// in the pause, and that it does once the pause is over.
+func TestReaderPause(t *testing.T) {
+	c := newCluster(t, "a", "b")
+	c.advanceWithLoads(3 * time.Second)
+	h := c.hosts[0]
+	h.core.cfg.WatchInterval = time.Second
+	h.storeUp, h.detectsOutage = false, false
+	c.publish()
+	c.advanceWithLoads(time.Second)
+	assert.Equal(t, h.core.State().Revision(), c.store.Revision())
+	assert.Assert(t, !h.core.storeUnavailable)
+	c.advanceWithLoads(storeLagMargin + 2*TickInterval)
+	assert.Assert(t, h.core.storeUnavailable)
+}
--- a/internal/hsdirect/elect.go
+++ b/internal/hsdirect/elect.go
@@ -17,10 +17,10 @@
 	// silenceRounds is the same limit for a large zone, in rounds of load reports:
 	// one report may be lost.
 	silenceRounds = 2
-	// storeLagTimeout is the maximum delay with which the store may deliver a
-	// change that a peer already has: several times the duration of a slow
-	// response.
-	storeLagTimeout = 300 * time.Millisecond
+	// storeLagMargin is the maximum delay with which a call to the store may
+	// deliver a change that a peer already has: several times the duration of a
+	// slow response.
+	storeLagMargin = 300 * time.Millisecond
 )
 
 // elect decides whether this host reads the store. It does, unless a peer in
@@ -66,11 +66,11 @@
 func electionRank(name string) uint64 { return xxhash.Sum64String("reader " + name) }
 
 // checkStoreLag treats the connection to the store as dead if the store does
-// not deliver a change to this host within storeLagTimeout after a peer did.
-// Another host of the zone then reads the store until the store responds to
-// this host again.
+// not deliver a change to this host within storeLagMargin after a peer did, and
+// after the pause that the reader task makes between two calls. Another host of
+// the zone then reads the store until the store responds to this host again.
 func (c *Core) checkStoreLag(now time.Time) {
-	if !c.reader || c.storeUnavailable || c.storeBehindSince.IsZero() || now.Sub(c.storeBehindSince) < storeLagTimeout {
+	if !c.reader || c.storeUnavailable || c.storeBehindSince.IsZero() || now.Sub(c.storeBehindSince) < c.cfg.WatchInterval+storeLagMargin {
 		return
 	}
 	c.storeBehindSince = time.Time{}
