--- a/internal/hsdirect/core_test.go
+++ b/internal/hsdirect/core_test.go
@@ -554,3 +554,34 @@
 	c.advanceWithLoads(storeLagMargin + 2*TickInterval)
 	assert.Assert(t, h.core.storeUnavailable)
 }
+
+// TestRestartNextToStalePeer checks that a host which restarts next to a peer
+// with an older state ends with the store's state, and never goes back: the
+// peer was cut off from the store and from all other hosts, and still has a
+// target that has left.
+func TestRestartNextToStalePeer(t *testing.T) {
+	c := newCluster(t, "a", "a", "b")
+	c.advanceWithLoads(3 * time.Second)
+	stale, restarted := c.hosts[0], c.hosts[1]
+	stale.storeUp = false
+	c.messageLost = func(from, to netip.Addr) bool { return from == stale.addr || to == stale.addr }
+	old := stale.core.State().Revision()
+	for range 3 {
+		c.publish()
+	}
+	c.advanceWithLoads(time.Second)
+	assert.Equal(t, stale.core.State().Revision(), old)
+	c.messageLost = func(from, to netip.Addr) bool {
+		other := c.hosts[2].addr
+		return from == other || to == other
+	}
+	c.start(restarted)
+	last := uint64(0)
+	for range 20 {
+		c.advanceWithLoads(TickInterval)
+		now := restarted.core.State().Revision()
+		assert.Assert(t, now >= last, "%d after %d", now, last)
+		last = now
+	}
+	assert.Equal(t, last, c.store.Revision())
+}
--- a/internal/hsdirect/entry_test.go
+++ b/internal/hsdirect/entry_test.go
@@ -206,6 +206,49 @@
 	}
 }
 
+// TestStopUnderLoad checks that a host which stops while new flows keep arriving
+// forwards each opening packet that reaches it, and answers none with a reset.
+func TestStopUnderLoad(t *testing.T) {
+	targetConn, targetAddr := listen(t)
+	callerConn, _ := listen(t)
+	at := netip.MustParseAddrPort("198.18.0.1:443")
+	store := &fakeStore{available: make(chan struct{}), state: hsfeed.Update{Revision: 5, Events: []hsfeed.Event{
+		{Revision: 3, Configuration: &hsfeed.Configuration{Version: 1, Routes: []hsfeed.Route{{
+			Address: at, Shares: []hsfeed.Share{{Service: "desk", Weight: 1}}, Timeout: time.Second, LatencyObjective: time.Second,
+		}}}},
+		{Revision: 5, Target: &hsfeed.Target{ID: 7, Service: "desk", Address: targetAddr, Zone: "a", Slots: 3}},
+	}}}
+	close(store.available)
+	ready := freePort(t)
+	e, err := New(Config{
+		Settings: Settings{
+			Name: "h1", Zone: "a", DataAddr: freePort(t), ReadyAddr: ready, PeerPort: freePort(t).Port(),
+			StopTimeout: testTimeout, MaxFlowLifetime: time.Minute,
+		},
+		Store: store, Codec: jsonCodec{}, ReadyPath: "/ready", Boot: 1, Logger: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}},
+	})
+	assert.NilError(t, err)
+	ctx, stop := context.WithCancel(t.Context())
+	var g errgroup.Group
+	g.Go(func() error { return e.Run(ctx) })
+	awaitStatus(t, ready, http.StatusOK)
+	stop()
+	awaitStatus(t, ready, http.StatusServiceUnavailable)
+	for port := range uint16(20) {
+		data, err := json.Marshal(hscookie.Packet{From: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), 1000+port), To: at, Flags: hscookie.FlagOpen})
+		assert.NilError(t, err)
+		_, err = callerConn.WriteToUDPAddrPort(data, e.cfg.Settings.DataAddr)
+		assert.NilError(t, err)
+	}
+	for range 20 {
+		var d delivered
+		assert.NilError(t, json.Unmarshal(receivePacket(t, targetConn), &d))
+		assert.Equal(t, d.Target, hsfeed.TargetID(7))
+	}
+	assert.NilError(t, g.Wait())
+	assert.Equal(t, e.leaving.Load(), true)
+}
+
 // busyStore returns a change on every call of Watch.
 type busyStore struct {
 	fakeStore
