Makefile: time limit of 40 minutes for the tests of a package

Traced: the dump shows cells of 2 to 3 s that go on passing, none that hangs; run by itself at a load of 17, the same commit passes in 261 s, of which it uses 712 s of processor time. The verdict depended on what else the machine did. No test or bound changes.

--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 	@grep -E '^[a-z]+:.*##' Makefile | sed 's/:.*##/\t/'
 
 test: ## run all tests with the race detector
-	go test -race $(PACKAGES)
+	go test -race -timeout 40m $(PACKAGES)
 
 build: ## build the programs into bin/
 	mkdir -p bin
