hshttp, hsdirect: one GET for both clients, one list of live peers

Found on reading the change: Client.Get repeated the function Get, and the election filtered the live peers again that the relay tree already selects. Both call one piece of code now. Behavior stays: the same requests, limits and errors, the same peers in the same order; tests are unchanged.

--- a/internal/hsdirect/core.go
+++ b/internal/hsdirect/core.go
@@ -229,8 +229,7 @@
 }
 
 // applyPeerUpdate applies an update from a peer. If this host is a reader, the
-// store has to deliver the same changes soon; see
-// checkStoreLag.
+// store has to deliver the same changes soon; see checkStoreLag.
 func (c *Core) applyPeerUpdate(now time.Time, u *hsfeed.Update) hscode.Code {
 	before := c.state.Revision()
 	code := c.applyUpdate(now, u)
--- a/internal/hsdirect/elect.go
+++ b/internal/hsdirect/elect.go
@@ -50,9 +50,7 @@
 
 // aliveZonePeers returns the peers in this zone that are alive.
 func (c *Core) aliveZonePeers() []hsroster.Peer {
-	return slices.DeleteFunc(c.roster.Peers(), func(p hsroster.Peer) bool {
-		return !p.Alive || p.Zone != c.cfg.Zone
-	})
+	return slices.DeleteFunc(c.alivePeers(), func(p hsroster.Peer) bool { return p.Zone != c.cfg.Zone })
 }
 
 // silenceTimeout returns the time without a message after which one of n peers
--- a/internal/hshttp/hshttp.go
+++ b/internal/hshttp/hshttp.go
@@ -63,18 +63,7 @@
 // Get sends a GET request like the function Get. The server may wait for the
 // given time before it responds.
 func (c *Client) Get(ctx context.Context, url string, limit int64, wait time.Duration) (Response, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
-	if err != nil {
-		return Response{}, errors.Trace(err)
-	}
-	res, err := c.do(req, wait)
-	if err != nil {
-		return Response{}, errors.Trace(err)
-	}
-	// If the body was not read to its end, closing it drops the connection. The
-	// response is not affected, so the error is ignored.
-	defer func() { _ = res.Body.Close() }()
-	return readResponse(res, limit)
+	return get(ctx, func(req *http.Request) (*http.Response, error) { return c.do(req, wait) }, url, nil, limit)
 }
 
 func (c *Client) do(req *http.Request, wait time.Duration) (*http.Response, error) {
@@ -127,21 +116,25 @@
 // response body. A returned body that is longer than limit shows that the
 // response was too large; the body may then be incomplete.
 func Get(ctx context.Context, c *http.Client, url string, h http.Header, limit int64) (Response, error) {
+	return get(ctx, c.Do, url, h, limit)
+}
+
+// get sends a GET request by means of do; see Get.
+func get(
+	ctx context.Context, do func(*http.Request) (*http.Response, error), url string, h http.Header, limit int64,
+) (Response, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
 	if err != nil {
 		return Response{}, errors.Trace(err)
 	}
 	req.Header = h
-	res, err := c.Do(req)
+	res, err := do(req)
 	if err != nil {
 		return Response{}, errors.Trace(err)
 	}
+	// If the body was not read to its end, closing it drops the connection. The
+	// response is not affected, so the error is ignored.
 	defer func() { _ = res.Body.Close() }()
-	return readResponse(res, limit)
-}
-
-// readResponse reads at most limit+1 bytes of the response body.
-func readResponse(res *http.Response, limit int64) (Response, error) {
 	body, err := io.ReadAll(io.LimitReader(res.Body, limit+1))
 	if err != nil {
 		return Response{}, errors.Trace(err)
