hsdirect: log and count the store's era, and updates that are older than the state

Cause looked for: a configuration that was published after the store came back from a copy was applied on no host. The log did not say which revision the store answered with, or that an update was ignored. No decision changed. Conclusion: the store came back at revision 22 of era 2, hosts were at 23; version 14 got 23 and was ignored as known.

--- a/internal/hsdirect/control.go
+++ b/internal/hsdirect/control.go
@@ -43,6 +43,9 @@
 	ControlStatus struct {
 		Revision             uint64
 		ConfigurationVersion uint64
+		// Era and revision of the store in its last response to this host.
+		StoreEra      uint64
+		StoreRevision uint64
 		// Time since a configuration or target list was last applied.
 		StateAge time.Duration
 		Targets  int
@@ -62,6 +65,9 @@
 		counts map[hscode.Code]uint64
 		// When a configuration or target list was last applied.
 		lastUpdate time.Time
+		// Era and revision of the store in its last response to this host.
+		answeredEra      uint64
+		answeredRevision uint64
 	}
 )
 
@@ -130,6 +136,7 @@
 	case m.update != nil && m.peer:
 		c.applyOutput(ctx, c.core.ApplyFetchedUpdate(now, m.update))
 	case m.update != nil:
+		c.logStoreUpdate(m.update)
 		c.applyOutput(ctx, c.core.ApplyStoreUpdate(now, m.update))
 	case m.storeAvailableSet:
 		c.applyOutput(ctx, c.core.SetStoreAvailable(now, m.storeAvailable))
@@ -146,12 +153,33 @@
 	}
 }
 
+// logStoreUpdate logs a change of the store's era, and an update of the store
+// that is older than the state of this host.
+func (c *controller) logStoreUpdate(u *hsfeed.Update) {
+	if u.Era != c.answeredEra {
+		c.e.log(log.InfoLevel, hscode.OK).
+			Uint64("era", u.Era).Uint64("before", c.answeredEra).
+			Uint64("revision", u.Revision).Uint64("state", c.core.State().Revision()).
+			Msg("era of the store changed")
+	}
+	if u.Revision < c.core.State().Revision() || (u.Era != c.answeredEra && u.Revision == c.core.State().Revision()) {
+		c.counts[hscode.PlatformOlder]++
+		c.e.log(log.WarnLevel, hscode.PlatformOlder).
+			Uint64("era", u.Era).Uint64("since", u.Since).Uint64("revision", u.Revision).
+			Uint64("state", c.core.State().Revision()).Int("events", len(u.Events)).
+			Msg("the store delivered an update that is older than the state of this host")
+	}
+	c.answeredEra, c.answeredRevision = u.Era, u.Revision
+}
+
 func (c *controller) status(now time.Time) ControlStatus {
 	state := c.core.State()
 	st := ControlStatus{
 		Revision:      state.Revision(),
 		StateAge:      now.Sub(c.lastUpdate),
 		Targets:       len(state.Targets()),
+		StoreEra:      c.answeredEra,
+		StoreRevision: c.answeredRevision,
 		StoreReader:   c.core.IsReader(),
 		StoreCalls:    c.e.storeCalls.Load(),
 		StoreFailures: c.e.storeFailures.Load(),
--- a/internal/hsdirect/metrics.go
+++ b/internal/hsdirect/metrics.go
@@ -59,6 +59,8 @@
 		uintMetric("store_calls", c.StoreCalls),
 		uintMetric("store_failures", c.StoreFailures),
 		uintMetric("store_reader", boolToUint(c.StoreReader)),
+		uintMetric("store_era", c.StoreEra),
+		uintMetric("store_revision", c.StoreRevision),
 		uintMetric("state_revision", c.Revision),
 		uintMetric("state_version", c.ConfigurationVersion),
 		uintMetric("state_age_ms", uint64(c.StateAge.Milliseconds())),
--- a/internal/hsfeed/types.go
+++ b/internal/hsfeed/types.go
@@ -91,6 +91,9 @@
 
 	// Update holds the changes between two revisions, or the whole state.
 	Update struct {
+		// Era of the store, which rises each time the store loses changes because
+		// it was restored from a copy; 0 if unknown.
+		Era uint64
 		// Revision after which the changes begin; 0 if the events are the whole
 		// state.
 		Since uint64
