hsfeed, hsdirect: order the state across a restore of the store

Cause: a revision of the store was taken for a number that never returns. After a restore from a copy the store gives revisions again; hosts hold higher ones and ignore the changes. The same number stood in the replica, in the reader's place in the store, in what was relayed and awaited, in the heartbeats' version and in fetches.

Change: one rule. Numbers of the store order changes within one era only; a position is an era and a revision, wherever one is kept, compared or sent. What lasts beyond an era is ordered by its writer: a configuration by its version, whatever the position of the update that delivers it; the entries of a target by its start and by whether it drains. Hosts at the same position compare a digest of their state and merge, if one knows what the store has lost; a host whose state has the same digest as that of a later position moves there without a fetch. A watch whose answer is of another era is followed by a list, of current pages; a second one in a row waits. Hosts of the previous version, which send no era, count as in the same one.

--- a/internal/hsdirect/control.go
+++ b/internal/hsdirect/control.go
@@ -32,9 +32,9 @@
 		localReport       *LocalReport
 		leave             bool
 		seeds             []netip.Addr
-		// Follow call from a peer: the changes after revision since are sent to
+		// Follow call from a peer: the changes after position since are sent to
 		// followReply.
-		since       uint64
+		since       hsfeed.Position
 		followReply chan<- *hsschema.Update
 		statusReply chan<- ControlStatus
 	}
@@ -196,8 +196,8 @@
 	return st
 }
 
-func (c *controller) updateSince(revision uint64) *hsschema.Update {
-	u, ok := c.core.State().UpdateSince(revision)
+func (c *controller) updateSince(p hsfeed.Position) *hsschema.Update {
+	u, ok := c.core.State().UpdateSince(p)
 	if !ok {
 		return nil
 	}
--- a/internal/hsdirect/core.go
+++ b/internal/hsdirect/core.go
@@ -32,10 +32,11 @@
 		Message *hsschema.Heartbeat
 	}
 
-	// Fetch is a request to a peer for the changes after a revision.
+	// Fetch is a request to a peer for the changes after a position, or for the
+	// whole state if the revision of the position is 0.
 	Fetch struct {
 		From  netip.Addr
-		Since uint64
+		Since hsfeed.Position
 	}
 
 	// Output is the result of one call of a Core: what changed, and the messages
@@ -84,13 +85,18 @@
 		// zones.
 		zoneReports   roundRobin
 		remoteReports roundRobin
-		// Revision that this host last relayed for each root; see relayReceived.
-		relayed map[string]uint64
-		// Root and revision of an update that was announced to this host and that it
-		// relays once it has fetched it; the revision is 0 if there is none.
+		// Position that this host last relayed for each root; see relayReceived.
+		relayed map[string]hsfeed.Position
+		// Root and position of an update that was announced to this host and that it
+		// relays once it has fetched it; zero if there is none.
 		awaitedRoot     string
-		awaitedRevision uint64
-		out             Output
+		awaitedPosition hsfeed.Position
+		// Digests of peers' states at the position of this host's state that have
+		// nothing to add to it, although they differ from it; see fetchDivergent.
+		merged map[uint64]bool
+		// When merged was last cleared.
+		mergedSince time.Time
+		out         Output
 	}
 )
 
@@ -109,6 +115,9 @@
 	maxPeers = 4096
 	// minFetchInterval is the minimum time between two fetches.
 	minFetchInterval = 100 * time.Millisecond
+	// mergedTime is the maximum time for which a peer's state that had nothing to
+	// add is not fetched again.
+	mergedTime = 10 * time.Second
 	// maxInlineUpdateSize is the largest update, in bytes, that is sent inside a
 	// heartbeat; a larger one would not fit into one packet.
 	maxInlineUpdateSize = 1100
@@ -134,7 +143,8 @@
 			Zone:           cfg.Zone,
 		}),
 		reader:  true,
-		relayed: map[string]uint64{},
+		relayed: map[string]hsfeed.Position{},
+		merged:  map[uint64]bool{},
 	}
 }
 
@@ -167,6 +177,11 @@
 	c.applyRosterOutput(now, c.roster.Tick(now))
 	c.checkStoreLag(now)
 	c.elect(now)
+	c.applyChange(c.state.Tick(now))
+	if now.Sub(c.mergedSince) >= mergedTime {
+		clear(c.merged)
+		c.mergedSince = now
+	}
 	return c.takeOutput()
 }
 
@@ -190,12 +205,17 @@
 		c.countCode(code)
 		return c.takeOutput()
 	}
+	if out.NewerPeer != "" && c.state.Adopt(now, c.peerPosition(hb.GetEra(), hb.GetVersion()), hb.GetHistory()) {
+		c.announceState()
+		out.NewerPeer = ""
+	}
 	switch hb.GetKind() {
 	case hsschema.Heartbeat_KIND_UPDATE:
 		if hb.GetUpdate() != nil {
 			// applyPush itself requests a fetch if changes are missing.
 			c.applyPush(now, hb, from)
 			out.NewerPeer = ""
+			out.DivergentPeer = ""
 		}
 		c.relayReceived(hb)
 	case hsschema.Heartbeat_KIND_LOADS:
@@ -205,6 +225,7 @@
 			c.out.Report.EjectionDuration = peerEjectionDuration(c.zonePeersAlive)
 		}
 	}
+	c.fetchDivergent(now, out.DivergentPeer, hb)
 	c.applyRosterOutput(now, out)
 	return c.takeOutput()
 }
@@ -212,10 +233,10 @@
 // ApplyStoreUpdate applies an update read from the store and sends the changes
 // to peers.
 func (c *Core) ApplyStoreUpdate(now time.Time, u *hsfeed.Update) Output {
-	since := c.state.Revision()
+	since := c.state.Position()
 	c.storeBehindSince = time.Time{}
 	c.applyUpdate(now, u)
-	if c.state.Revision() > since {
+	if c.state.Position().After(since) {
 		c.pushChanges(since)
 	}
 	return c.takeOutput()
@@ -224,6 +245,9 @@
 // ApplyFetchedUpdate applies a peer's response to a fetch.
 func (c *Core) ApplyFetchedUpdate(now time.Time, u *hsfeed.Update) Output {
 	c.applyPeerUpdate(now, u)
+	if u.Since == 0 && c.peerPosition(u.Era, u.Revision) == c.state.Position() {
+		c.merged[u.Digest()] = true
+	}
 	c.relayFetched()
 	return c.takeOutput()
 }
@@ -231,9 +255,9 @@
 // applyPeerUpdate applies an update from a peer. If this host is a reader, the
 // store has to deliver the same changes soon; see checkStoreLag.
 func (c *Core) applyPeerUpdate(now time.Time, u *hsfeed.Update) hscode.Code {
-	before := c.state.Revision()
+	before := c.state.Position()
 	code := c.applyUpdate(now, u)
-	if c.reader && before > 0 && c.state.Revision() > before && c.storeBehindSince.IsZero() {
+	if c.reader && before.Revision > 0 && c.state.Position().After(before) && c.storeBehindSince.IsZero() {
 		c.storeBehindSince = now
 	}
 	return code
@@ -256,7 +280,7 @@
 		return
 	}
 	if code := c.applyPeerUpdate(now, &u); code == hscode.PeerGap {
-		c.requestFetch(now, from)
+		c.requestFetch(now, from, c.state.Position())
 	}
 }
 
@@ -264,8 +288,12 @@
 	ch, code := c.state.Apply(now, u)
 	if code != hscode.OK {
 		c.countCode(code)
-		return code
 	}
+	c.applyChange(ch)
+	return code
+}
+
+func (c *Core) applyChange(ch hsfeed.Change) {
 	if ch.Configuration {
 		c.out.Configuration = c.state.Configuration()
 	}
@@ -273,8 +301,38 @@
 		c.out.Targets = c.state.Targets()
 		c.out.TargetsChanged = true
 	}
-	c.roster.SetVersion(c.state.Revision())
-	return code
+	if ch != (hsfeed.Change{}) {
+		clear(c.merged)
+	}
+	c.announceState()
+}
+
+// announceState lets heartbeats carry the position and digest of the state.
+func (c *Core) announceState() {
+	p := c.state.Position()
+	c.roster.SetState(p.Era, p.Revision, c.state.Digest())
+}
+
+// peerPosition returns the position that a peer means by an era and a revision.
+// Peers that do not know the era count as in the same one as this host.
+func (c *Core) peerPosition(era, revision uint64) hsfeed.Position {
+	if era == 0 {
+		era = c.state.Position().Era
+	}
+	return hsfeed.Position{Era: era, Revision: revision}
+}
+
+// fetchDivergent fetches the whole state of the sender of hb, if it differs from
+// the state here although both are at the same position: after the store was
+// restored, one of the two knows what the store has lost. It does not fetch a
+// state again that had nothing to add.
+func (c *Core) fetchDivergent(now time.Time, peer string, hb *hsschema.Heartbeat) {
+	if peer == "" || hb.GetHistory() == 0 || c.merged[hb.GetHistory()] {
+		return
+	}
+	if from, err := netip.ParseAddr(peer); err == nil {
+		c.requestFetch(now, from, hsfeed.Position{})
+	}
 }
 
 // applyRosterOutput adds to the output the heartbeats that the roster wants to
@@ -285,17 +343,17 @@
 	}
 	if out.NewerPeer != "" {
 		if from, err := netip.ParseAddr(out.NewerPeer); err == nil {
-			c.requestFetch(now, from)
+			c.requestFetch(now, from, c.state.Position())
 		}
 	}
 }
 
-func (c *Core) requestFetch(now time.Time, from netip.Addr) {
+func (c *Core) requestFetch(now time.Time, from netip.Addr, since hsfeed.Position) {
 	if now.Sub(c.lastFetch) < minFetchInterval {
 		return
 	}
 	c.lastFetch = now
-	c.out.Fetches = append(c.out.Fetches, Fetch{From: from, Since: c.state.Revision()})
+	c.out.Fetches = append(c.out.Fetches, Fetch{From: from, Since: since})
 }
 
 func (c *Core) send(to string, hb *hsschema.Heartbeat) {
--- a/internal/hsdirect/core_test.go
+++ b/internal/hsdirect/core_test.go
@@ -112,7 +112,7 @@
 		return
 	}
 	c.applyOutput(h, h.core.SetStoreAvailable(c.now, true))
-	if u, ok := c.store.UpdateSince(h.core.State().Revision()); ok {
+	if u, ok := c.store.UpdateSince(h.core.State().Position()); ok {
 		c.applyOutput(h, h.core.ApplyStoreUpdate(c.now, &u))
 	}
 }
--- a/internal/hsdirect/entry.go
+++ b/internal/hsdirect/entry.go
@@ -38,10 +38,10 @@
 	Store interface {
 		// List returns the whole state.
 		List(ctx context.Context) (hsfeed.Update, error)
-		// Watch waits up to the given time for changes after a revision. The update
+		// Watch waits up to the given time for changes after a position. The update
 		// is empty if there were none. An error with code PlatformHistory means that
-		// the store no longer has these changes.
-		Watch(ctx context.Context, after uint64, wait time.Duration) (hsfeed.Update, error)
+		// the store no longer has these changes, or is in another era.
+		Watch(ctx context.Context, after hsfeed.Position, wait time.Duration) (hsfeed.Update, error)
 	}
 
 	// Codec decodes and encodes packets in the formats of callers and targets.
--- a/internal/hsdirect/entry_test.go
+++ b/internal/hsdirect/entry_test.go
@@ -60,9 +60,9 @@
 }
 
 // Watch implements Store.
-func (s *fakeStore) Watch(ctx context.Context, after uint64, _ time.Duration) (hsfeed.Update, error) {
+func (s *fakeStore) Watch(ctx context.Context, after hsfeed.Position, _ time.Duration) (hsfeed.Update, error) {
 	<-ctx.Done()
-	return hsfeed.Update{Since: after, Revision: after}, nil
+	return hsfeed.Update{Era: after.Era, Since: after.Revision, Revision: after.Revision}, nil
 }
 
 // Decode implements Codec.
@@ -256,9 +256,10 @@
 }
 
 // Watch implements Store.
-func (s *busyStore) Watch(_ context.Context, after uint64, _ time.Duration) (hsfeed.Update, error) {
+func (s *busyStore) Watch(_ context.Context, after hsfeed.Position, _ time.Duration) (hsfeed.Update, error) {
 	s.calls.Add(1)
-	return hsfeed.Update{Since: after, Revision: after + 1, Events: []hsfeed.Event{{Revision: after + 1, Removed: 9}}}, nil
+	next := after.Revision + 1
+	return hsfeed.Update{Era: after.Era, Since: after.Revision, Revision: next, Events: []hsfeed.Event{{Revision: next, Removed: 9}}}, nil
 }
 
 // TestSeriesOfChanges checks that a store which changes all the time is called
--- a/internal/hsdirect/peer.go
+++ b/internal/hsdirect/peer.go
@@ -75,7 +75,7 @@
 // newer.
 func (e *EntryHost) callFollow(ctx context.Context, client *hshttp.Client, f Fetch) (*hsfeed.Update, error) {
 	url := "http://" + netip.AddrPortFrom(f.From, e.cfg.Settings.PeerPort).String()
-	req := connect.NewRequest(&hsschema.FollowRequest{Since: f.Since})
+	req := connect.NewRequest(&hsschema.FollowRequest{Era: f.Since.Era, Since: f.Since.Revision})
 	res, err := hsschemaconnect.NewFeedClient(client, url).Follow(ctx, req)
 	if err != nil {
 		return nil, errors.Trace(err)
@@ -102,7 +102,9 @@
 	ctx context.Context, req *connect.Request[hsschema.FollowRequest],
 ) (*connect.Response[hsschema.FollowResponse], error) {
 	reply := make(chan *hsschema.Update, 1)
-	u, ok := hstask.Call(ctx, s.e.toControl, controlMessage{followReply: reply, since: req.Msg.GetSince()}, reply)
+	u, ok := hstask.Call(ctx, s.e.toControl, controlMessage{
+		followReply: reply, since: hsfeed.Position{Era: req.Msg.GetEra(), Revision: req.Msg.GetSince()},
+	}, reply)
 	if !ok {
 		return nil, connect.NewError(connect.CodeUnavailable, ctx.Err())
 	}
--- a/internal/hsdirect/reader.go
+++ b/internal/hsdirect/reader.go
@@ -25,10 +25,12 @@
 	// storeReader is the state of the reader task.
 	storeReader struct {
 		e *EntryHost
-		// Revision up to which this task has read all changes; 0 if it has to list
-		// the store.
-		seenRevision uint64
-		backoff      time.Duration
+		// Position up to which this task has read all changes; zero if it has to
+		// list the store.
+		seen hsfeed.Position
+		// True if the store had to be listed again and no watch succeeded since.
+		relisted bool
+		backoff  time.Duration
 		// Whether the store is available, as last reported to the control task.
 		storeAvailable bool
 	}
@@ -67,7 +69,7 @@
 	g, readCtx := errgroup.WithContext(ctx)
 	readCtx, cancel := context.WithCancel(readCtx)
 	g.Go(func() error {
-		r.seenRevision = 0
+		r.seen = hsfeed.Position{}
 		for readCtx.Err() == nil {
 			r.step(readCtx)
 		}
@@ -106,8 +108,13 @@
 		r.e.log(log.WarnLevel, e.Code).Str("key", e.Path).Str("detail", e.Detail).Msg("ignoring invalid entry in the store")
 	}
 	r.reportAvailability(ctx, true)
-	r.backoff = minBackoff
-	r.seenRevision = u.Revision
+	if u.Since > 0 {
+		r.relisted = false
+	}
+	if !r.relisted {
+		r.backoff = minBackoff
+	}
+	r.seen = u.Position()
 	r.sendToControl(ctx, controlMessage{update: &u})
 	if len(u.Events) > 0 {
 		hstask.Sleep(ctx, r.e.cfg.Settings.watchInterval())
@@ -115,21 +122,25 @@
 }
 
 func (r *storeReader) read(ctx context.Context) (hsfeed.Update, error) {
-	if r.seenRevision == 0 {
+	if r.seen == (hsfeed.Position{}) {
 		return r.e.cfg.Store.List(ctx)
 	}
-	return r.e.cfg.Store.Watch(ctx, r.seenRevision, r.e.cfg.Settings.watchWait())
+	return r.e.cfg.Store.Watch(ctx, r.seen, r.e.cfg.Settings.watchWait())
 }
 
 func (r *storeReader) handleFailure(ctx context.Context, err error) {
 	r.e.storeFailures.Add(1)
 	code := hscode.Of(err, hscode.PlatformRead)
-	r.e.log(log.WarnLevel, code).Uint64("after", r.seenRevision).Err(errors.Cause(err)).Msg("cannot read the store")
+	r.e.log(log.WarnLevel, code).Uint64("era", r.seen.Era).Uint64("after", r.seen.Revision).Err(errors.Cause(err)).Msg("cannot read the store")
 	if code == hscode.PlatformHistory {
-		r.seenRevision = 0
-		return
+		first := !r.relisted
+		r.seen, r.relisted = hsfeed.Position{}, true
+		if first {
+			return
+		}
+	} else {
+		r.reportAvailability(ctx, false)
 	}
-	r.reportAvailability(ctx, false)
 	hstask.Sleep(ctx, r.backoff/2+rand.N(r.backoff))
 	r.backoff = min(2*r.backoff, maxBackoff)
 }
--- a/internal/hsdirect/relay.go
+++ b/internal/hsdirect/relay.go
@@ -18,7 +18,7 @@
 // reader is the root of a tree in its zone and sends each change to a few hosts
 // of every other zone too, each of which is then a root in its own. Hosts below
 // a dead host, or whose views of the members differ, miss an update; they
-// notice from the revision in the next heartbeat that reaches them, and fetch
+// notice from the position in the next heartbeat that reaches them, and fetch
 // it.
 
 const (
@@ -28,13 +28,13 @@
 	// maxRemoteContacts is the number of hosts in each other zone that a reader
 	// sends an update to: one of them may be dead.
 	maxRemoteContacts = 2
-	// maxRelayRoots limits the roots for which the last relayed revision is kept.
+	// maxRelayRoots limits the roots for which the last relayed position is kept.
 	maxRelayRoots = 64
 )
 
-// pushChanges sends the changes after a revision into the relay tree of this
+// pushChanges sends the changes after a position into the relay tree of this
 // host's zone and to a few hosts of each other zone.
-func (c *Core) pushChanges(since uint64) {
+func (c *Core) pushChanges(since hsfeed.Position) {
 	u, ok := c.state.UpdateSince(since)
 	if !ok {
 		return
@@ -53,7 +53,7 @@
 }
 
 // inlineUpdate returns the update in the form in which a heartbeat carries it, or
-// nil if it is too large. The heartbeat then only announces the revision, and
+// nil if it is too large. The heartbeat then only announces the position, and
 // its receivers fetch the changes.
 func inlineUpdate(u *hsfeed.Update) *hsschema.Update {
 	if out := hsfeed.ToProto(u); proto.Size(out) <= maxInlineUpdateSize {
@@ -69,41 +69,41 @@
 	if root == "" {
 		root = c.self
 	}
-	revision := hb.GetVersion()
+	p := c.peerPosition(hb.GetEra(), hb.GetVersion())
 	if u := hb.GetUpdate(); u != nil {
-		revision = u.GetRevision()
+		p = c.peerPosition(u.GetEra(), u.GetRevision())
 	}
-	if revision <= c.relayed[root] {
+	if !p.After(c.relayed[root]) {
 		return
 	}
-	if hb.GetUpdate() == nil && c.state.Revision() < revision {
-		c.awaitedRoot, c.awaitedRevision = root, revision
+	if hb.GetUpdate() == nil && p.After(c.state.Position()) {
+		c.awaitedRoot, c.awaitedPosition = root, p
 		return
 	}
-	c.markRelayed(root, revision)
+	c.markRelayed(root, p)
 	c.relayUpdate(root, hb.GetUpdate(), c.alivePeers())
 }
 
 // relayFetched passes on the update that was announced to this host, once the
 // host has fetched it.
 func (c *Core) relayFetched() {
-	if c.awaitedRevision == 0 || c.state.Revision() < c.awaitedRevision {
+	if c.awaitedPosition == (hsfeed.Position{}) || c.awaitedPosition.After(c.state.Position()) {
 		return
 	}
-	c.markRelayed(c.awaitedRoot, c.awaitedRevision)
-	c.awaitedRevision = 0
+	c.markRelayed(c.awaitedRoot, c.awaitedPosition)
+	c.awaitedPosition = hsfeed.Position{}
 	c.relayUpdate(c.awaitedRoot, nil, c.alivePeers())
 }
 
-func (c *Core) markRelayed(root string, revision uint64) {
+func (c *Core) markRelayed(root string, p hsfeed.Position) {
 	if len(c.relayed) >= maxRelayRoots {
 		clear(c.relayed)
 	}
-	c.relayed[root] = revision
+	c.relayed[root] = p
 }
 
 // relayUpdate sends an update to this host's children in the tree of a root. If
-// update is nil, it announces the revision.
+// update is nil, it announces the position.
 func (c *Core) relayUpdate(root string, update *hsschema.Update, peers []hsroster.Peer) {
 	children := c.relayChildren(root, peers)
 	if len(children) == 0 {
--- a/internal/hsdirect/relay_test.go
+++ b/internal/hsdirect/relay_test.go
@@ -34,7 +34,7 @@
 	}
 	c.publish()
 	reader := c.reader("a")
-	u, _ := c.store.UpdateSince(reader.core.State().Revision())
+	u, _ := c.store.UpdateSince(reader.core.State().Position())
 	c.applyOutput(reader, reader.core.ApplyStoreUpdate(c.now, &u))
 	c.messageLost = lost
 	return sent
--- a/internal/hsfeed/proto.go
+++ b/internal/hsfeed/proto.go
@@ -9,9 +9,13 @@
 
 // ToProto converts an update to its protobuf message, without Update.Errors.
 func ToProto(u *Update) *hsschema.Update {
-	out := &hsschema.Update{Since: u.Since, Revision: u.Revision}
+	out := &hsschema.Update{Era: u.Era, Since: u.Since, Revision: u.Revision}
 	for i := range u.Events {
-		out.Events = append(out.Events, eventToProto(&u.Events[i]))
+		ev := eventToProto(&u.Events[i])
+		if ev.Era == u.Era {
+			ev.Era = 0
+		}
+		out.Events = append(out.Events, ev)
 	}
 	return out
 }
@@ -19,7 +23,7 @@
 // FromProto converts a protobuf message to an update. It returns false if the
 // message is not valid.
 func FromProto(m *hsschema.Update) (Update, bool) {
-	u := Update{Since: m.GetSince(), Revision: m.GetRevision()}
+	u := Update{Era: m.GetEra(), Since: m.GetSince(), Revision: m.GetRevision()}
 	for _, e := range m.GetEvents() {
 		ev, ok := eventFromProto(e)
 		if !ok {
@@ -31,7 +35,7 @@
 }
 
 func eventToProto(ev *Event) *hsschema.Event {
-	out := &hsschema.Event{Revision: ev.Revision}
+	out := &hsschema.Event{Era: ev.Era, Revision: ev.Revision}
 	switch {
 	case ev.Configuration != nil:
 		out.Change = &hsschema.Event_Configuration{Configuration: configurationToProto(ev.Configuration)}
@@ -39,12 +43,13 @@
 		out.Change = &hsschema.Event_Target{Target: targetToProto(ev.Target)}
 	default:
 		out.Change = &hsschema.Event_Gone{Gone: uint64(ev.Removed)}
+		out.Born, out.Draining = ev.RemovedStamp.StartUnixMilli, ev.RemovedStamp.Draining
 	}
 	return out
 }
 
 func eventFromProto(e *hsschema.Event) (Event, bool) {
-	out := Event{Revision: e.GetRevision()}
+	out := Event{Era: e.GetEra(), Revision: e.GetRevision()}
 	ok := true
 	switch c := e.GetChange().(type) {
 	case *hsschema.Event_Configuration:
@@ -53,6 +58,7 @@
 		out.Target, ok = targetFromProto(c.Target)
 	case *hsschema.Event_Gone:
 		out.Removed = TargetID(c.Gone)
+		out.RemovedStamp = Stamp{StartUnixMilli: e.GetBorn(), Draining: e.GetDraining()}
 	default:
 		return out, false
 	}
@@ -78,13 +84,14 @@
 		return nil, false
 	}
 	return &Target{
-		ID:             TargetID(b.GetId()),
-		Service:        b.GetService(),
-		Address:        addr,
-		Zone:           b.GetZone(),
-		Slots:          int(b.GetSlots()),
-		Draining:       b.GetDraining(),
-		WarmUp:         fromMilliseconds(b.GetCold()),
+		ID:       TargetID(b.GetId()),
+		Service:  b.GetService(),
+		Address:  addr,
+		Zone:     b.GetZone(),
+		Slots:    int(b.GetSlots()),
+		Draining: b.GetDraining(),
+		WarmUp:   fromMilliseconds(b.GetCold()),
+
 		StartUnixMilli: b.GetBorn(),
 	}, true
 }
--- a/internal/hsfeed/replica.go
+++ b/internal/hsfeed/replica.go
@@ -1,7 +1,6 @@
 package hsfeed
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -9,23 +8,24 @@
 )
 
 type (
-	// Replica holds a host's copy of the published state at the highest revision
+	// Replica holds a host's copy of the published state at the latest position
 	// received, and a log of the latest events for hosts that are behind. It is
 	// not safe for concurrent use.
 	Replica struct {
-		// Revision of the state; 0 before the first update.
-		revision uint64
-		// Revision up to which all changes have been received; never below
-		// revision. An update without events, or with a whole state equal to the
-		// present one, raises only this number.
+		// Position of the state; zero before the first update. It never decreases.
+		position Position
+		// Revision, in the era of position, up to which all changes have been
+		// received; never below the revision of position. An update without
+		// events, or with a whole state equal to the present one, raises only this
+		// number.
 		receivedRevision uint64
-		// Nil before the first configuration.
+		// Nil before the first configuration. Its version never decreases, also
+		// where the store has an older one.
 		configuration *Configuration
-		// Revision of configuration.
-		configurationRevision uint64
-		targets               map[TargetID]TargetRecord
-		// Events after revision logStart, in ascending order of revisions. At most
-		// maxLog events, at most one of which is a configuration.
+		targets       targetSet
+		// Events after revision logStart of the current era, in ascending order of
+		// revisions. At most maxLog events, at most one of which is a
+		// configuration.
 		log      []Event
 		logStart uint64
 	}
@@ -52,62 +52,114 @@
 	logDropCount = maxLog / 8
 )
 
+// Position returns the position of the state.
+func (r *Replica) Position() Position { return r.position }
+
 // Revision returns the revision of the state.
-func (r *Replica) Revision() uint64 { return r.revision }
+func (r *Replica) Revision() uint64 { return r.position.Revision }
 
 // Configuration returns the current configuration, or nil.
 func (r *Replica) Configuration() *Configuration { return r.configuration }
 
 // Targets returns the listed targets in the order of their IDs.
-func (r *Replica) Targets() []TargetRecord {
-	out := make([]TargetRecord, 0, len(r.targets))
-	for _, record := range r.targets {
-		out = append(out, record)
-	}
-	slices.SortFunc(out, func(a, b TargetRecord) int { return cmp.Compare(a.ID, b.ID) })
-	return out
+func (r *Replica) Targets() []TargetRecord { return r.targets.sorted() }
+
+// Digest returns a digest of the current content: the version of the
+// configuration and the listed targets. It is 0 for an empty state.
+func (r *Replica) Digest() uint64 { return r.targets.digest ^ r.configuration.digest() }
+
+// Position returns the position of the state after the update.
+func (u *Update) Position() Position { return Position{Era: u.Era, Revision: u.Revision} }
+
+// Digest returns the Replica.Digest of a host that has only received this update,
+// which has to be a whole state.
+func (u *Update) Digest() uint64 {
+	var r Replica
+	r.Apply(time.Time{}, u)
+	return r.Digest()
 }
 
 // Apply applies an update from the store or from another host. An update to an
-// older or the same revision changes nothing. If changes between the state and
-// the update are missing, Apply returns PeerGap and changes nothing; the caller
-// then has to fetch them.
+// earlier position changes at most the configuration, and so does one to the
+// same position, unless it is the whole state: that is merged. If changes
+// between the state and the update are missing, Apply returns PeerGap; the
+// caller then has to fetch them.
 func (r *Replica) Apply(now time.Time, u *Update) (Change, hscode.Code) {
-	if u.Revision <= r.revision {
-		return Change{}, hscode.OK
-	}
-	if u.Since == 0 {
-		return r.replaceState(now, u), hscode.OK
-	}
-	if u.Since > r.receivedRevision {
-		return Change{}, hscode.PeerGap
-	}
+	p := Position{Era: orDefault(u.Era, r.position.Era), Revision: u.Revision}
 	var ch Change
+	r.applyConfigurations(u.Events, &ch)
+	order := p.Compare(r.position)
+	switch {
+	case order < 0, order == 0 && (u.Since > 0 || u.Revision < r.receivedRevision):
+		return ch, hscode.OK
+	case order == 0:
+		r.targets.merge(now, p.Era, u.Events, &ch)
+		return ch, hscode.OK
+	case u.Since == 0:
+		r.replaceState(now, p, u.Events, &ch)
+		return ch, hscode.OK
+	case p.Era != r.position.Era || u.Since > r.receivedRevision:
+		return ch, hscode.PeerGap
+	}
 	for i := range u.Events {
-		if u.Events[i].Revision > r.revision {
-			r.applyEvent(now, &u.Events[i], &ch)
+		if u.Events[i].Revision > r.position.Revision {
+			r.targets.apply(now, p.Era, &u.Events[i], &ch)
 			r.appendToLog(u.Events[i])
 		}
 	}
 	if len(u.Events) > 0 {
-		r.revision = u.Revision
+		r.position = p
 	}
 	r.receivedRevision = max(r.receivedRevision, u.Revision)
 	return ch, hscode.OK
 }
 
-// UpdateSince returns the changes after a revision, or the whole state if the
-// log does not reach back that far. It returns false if nothing changed.
-func (r *Replica) UpdateSince(revision uint64) (Update, bool) {
-	if revision >= r.revision {
+func orDefault(era, fallback uint64) uint64 {
+	if era == 0 {
+		return fallback
+	}
+	return era
+}
+
+// Adopt advances the replica to the position of a host whose state has the given
+// digest, if the state here has the same, so that it does not have to be fetched.
+// It reports whether it did. While entries are held, changes within the era may
+// concern them without changing the digest.
+func (r *Replica) Adopt(now time.Time, p Position, digest uint64) bool {
+	sameEra := p.Era == r.position.Era
+	if digest == 0 || digest != r.Digest() || !p.After(r.position) || (sameEra && len(r.targets.held) > 0) {
+		return false
+	}
+	r.enterEra(now, p.Era)
+	r.moveTo(p)
+	return true
+}
+
+// Tick does the work that depends on time; see targetSet. Call it at least once
+// per second.
+func (r *Replica) Tick(now time.Time) Change {
+	var ch Change
+	r.targets.tick(now, r.position.Era, &ch)
+	return ch
+}
+
+// UpdateSince returns the changes after a position, or the whole state if the
+// log does not reach back that far. An unknown era counts as the current one.
+// UpdateSince returns false if nothing changed.
+func (r *Replica) UpdateSince(p Position) (Update, bool) {
+	p.Era = orDefault(p.Era, r.position.Era)
+	if p.Revision == 0 {
+		return r.wholeState(), r.position.Revision > 0
+	}
+	if !r.position.After(p) {
 		return Update{}, false
 	}
-	if revision == 0 || revision < r.logStart {
+	if p.Era != r.position.Era || p.Revision < r.logStart {
 		return r.wholeState(), true
 	}
-	u := Update{Since: revision, Revision: r.revision}
+	u := Update{Era: r.position.Era, Since: p.Revision, Revision: r.position.Revision}
 	for i := range r.log {
-		if r.log[i].Revision > revision {
+		if r.log[i].Revision > p.Revision {
 			u.Events = append(u.Events, r.log[i])
 		}
 	}
@@ -116,74 +168,54 @@
 
 // wholeState returns an update with the whole state.
 func (r *Replica) wholeState() Update {
-	u := Update{Revision: r.revision}
+	u := Update{Era: r.position.Era, Revision: r.position.Revision}
 	if r.configuration != nil {
-		u.Events = append(u.Events, Event{Revision: r.configurationRevision, Configuration: r.configuration})
-	}
-	for _, record := range r.Targets() {
-		u.Events = append(u.Events, Event{Revision: record.Revision, Target: &record.Target})
+		u.Events = append(u.Events, Event{Revision: r.position.Revision, Configuration: r.configuration})
 	}
+	u.Events = r.targets.appendEvents(u.Events, r.position.Era)
 	return u
 }
 
-// replaceState replaces the state by a newer whole state and empties the log,
-// since a whole state does not contain the changes in between. If the whole
-// state equals the present one, the revision and the log stay as they are, so
-// that no other host fetches the state again.
-func (r *Replica) replaceState(now time.Time, u *Update) Change {
-	var ch Change
-	listed := make(map[TargetID]bool, len(u.Events))
-	for i := range u.Events {
-		ev := &u.Events[i]
-		if ev.Target != nil {
-			listed[ev.Target.ID] = true
-		}
-		r.applyEvent(now, ev, &ch)
+// replaceState replaces the state by a later whole state and empties the log,
+// since a whole state does not contain the changes in between. If a whole state
+// of the same era equals the present one, the position and the log stay as they
+// are, so that no other host fetches the state again.
+func (r *Replica) replaceState(now time.Time, p Position, events []Event, ch *Change) {
+	r.enterEra(now, p.Era)
+	r.targets.replace(now, p, events, ch)
+	if p.Era == r.position.Era && r.position.Revision > 0 && *ch == (Change{}) {
+		r.receivedRevision = max(r.receivedRevision, p.Revision)
+		return
 	}
-	for id := range r.targets {
-		if !listed[id] {
-			delete(r.targets, id)
-			ch.Targets = true
-		}
-	}
-	r.receivedRevision = max(r.receivedRevision, u.Revision)
-	if r.revision > 0 && ch == (Change{}) {
-		return ch
+	r.moveTo(p)
+}
+
+// enterEra prepares the state for another era.
+func (r *Replica) enterEra(now time.Time, era uint64) {
+	if era != r.position.Era || r.position.Revision == 0 {
+		r.targets.enterEra(now)
 	}
-	r.revision = u.Revision
+}
+
+// moveTo sets the position without the changes that lead there.
+func (r *Replica) moveTo(p Position) {
+	r.position = p
+	r.receivedRevision = p.Revision
 	r.log = nil
-	r.logStart = u.Revision
-	return ch
+	r.logStart = p.Revision
 }
 
-// applyEvent applies one event and records in ch what it changed. It ignores
-// events that the state already reflects.
-func (r *Replica) applyEvent(now time.Time, ev *Event, ch *Change) {
-	switch {
-	case ev.Configuration != nil:
-		if ev.Revision <= r.configurationRevision {
-			return
+// applyConfigurations applies the configuration with the highest version.
+func (r *Replica) applyConfigurations(events []Event, ch *Change) {
+	for i := range events {
+		c := events[i].Configuration
+		if c == nil || (r.configuration != nil && c.Version <= r.configuration.Version) {
+			continue
 		}
-		r.configuration = ev.Configuration.withPreviousServices(r.configuration)
-		r.configurationRevision = ev.Revision
+		r.configuration = c.withPreviousServices(r.configuration)
 		ch.Configuration = true
-	case ev.Target != nil:
-		if old, ok := r.targets[ev.Target.ID]; ok && old.Revision >= ev.Revision {
-			return
-		}
-		if r.targets == nil {
-			r.targets = map[TargetID]TargetRecord{}
-		}
-		r.targets[ev.Target.ID] = TargetRecord{Target: *ev.Target, Revision: ev.Revision, WarmUpUntil: now.Add(ev.Target.WarmUp)}
-		ch.Targets = true
-	default:
-		if _, ok := r.targets[ev.Removed]; !ok {
-			return
-		}
-		delete(r.targets, ev.Removed)
-		ch.Targets = true
+		ch.EventCount++
 	}
-	ch.EventCount++
 }
 
 // appendToLog appends an event to the log. A configuration replaces the one
--- a/internal/hsfeed/replica_test.go
+++ b/internal/hsfeed/replica_test.go
@@ -155,7 +155,7 @@
 // catchUp applies to dst the changes that it lacks compared to src, encoded and
 // decoded as a protobuf message.
 func catchUp(t *rapid.T, src, dst *Replica) {
-	u, ok := src.UpdateSince(dst.Revision())
+	u, ok := src.UpdateSince(dst.Position())
 	if !ok {
 		return
 	}
@@ -174,10 +174,10 @@
 		apply(t, replica, Update{Since: r - 1, Revision: r, Events: []Event{{Revision: r, Target: newTarget(1, int(r))}}}, hscode.OK)
 	}
 	assert.Assert(t, len(replica.log) <= maxLog && len(replica.log) > maxLog-logDropCount, "%d", len(replica.log))
-	u, ok := replica.UpdateSince(5)
+	u, ok := replica.UpdateSince(Position{Revision: 5})
 	assert.Assert(t, ok)
 	assert.Equal(t, u.Since, uint64(0))
-	u, ok = replica.UpdateSince(maxLog + 90)
+	u, ok = replica.UpdateSince(Position{Revision: maxLog + 90})
 	assert.Assert(t, ok)
 	assert.Equal(t, len(u.Events), 9)
 }
@@ -194,12 +194,12 @@
 		if r%step != 1 {
 			continue
 		}
-		u, ok := from.UpdateSince(to.Revision())
+		u, ok := from.UpdateSince(to.Position())
 		assert.Assert(t, ok)
 		got += len(u.Events)
 		apply(t, to, u, hscode.OK)
 	}
-	u, ok := from.UpdateSince(5)
+	u, ok := from.UpdateSince(Position{Revision: 5})
 	assert.Assert(t, ok)
 	assert.Equal(t, u.Since, uint64(5), "a host that is 3,000 changes behind gets the changes, not the whole state")
 	assert.Equal(t, got, targets+1)
@@ -214,7 +214,7 @@
 		r := uint64(i + 2)
 		apply(t, replica, Update{Since: r - 1, Revision: r, Events: []Event{{Revision: r, Configuration: newConfiguration(r, service)}}}, hscode.OK)
 	}
-	u, ok := replica.UpdateSince(1)
+	u, ok := replica.UpdateSince(Position{Revision: 1})
 	assert.Assert(t, ok)
 	assert.Equal(t, len(u.Events), 1)
 	assert.DeepEqual(t, u.Events[0].Configuration.Routes[0].PreviousServices, []string{"desk", "vault"})
@@ -237,7 +237,7 @@
 		ch := apply(t, replica, Update{Since: 30, Revision: 31, Events: []Event{{Revision: 31, Target: newTarget(2, 3)}}}, hscode.OK)
 		assert.Assert(t, ch.Targets, name)
 		assert.Equal(t, replica.Revision(), uint64(31), name)
-		changes, ok := replica.UpdateSince(7)
+		changes, ok := replica.UpdateSince(Position{Revision: 7})
 		assert.Assert(t, ok, name)
 		assert.Equal(t, len(changes.Events) > 0, true, name)
 	}
--- a/internal/hsfeed/types.go
+++ b/internal/hsfeed/types.go
@@ -1,11 +1,16 @@
 // Package hsfeed replicates the published state of a direct server return (DSR)
 // deployment: the current configuration and the targets that announced
 // themselves. The store gives every change a revision number. Hosts get the
-// changes from the store or from one another; all hosts at the same revision
-// hold the same state.
+// changes from the store or from one another.
+//
+// A store that is restored from a copy loses changes and uses their revisions
+// again, in a new era. Numbers of the store therefore order changes within one
+// era only. What lasts beyond an era is ordered by its writer's own numbers: a
+// configuration by its version, the entries of a target by their Stamp.
 package hsfeed
 
 import (
+	"cmp"
 	"net/netip"
 	"time"
 
@@ -17,6 +22,21 @@
 	// start time then differs.
 	TargetID uint64
 
+	// Position is a point in the history of the store.
+	Position struct {
+		// Era of the store; 0 if unknown.
+		Era uint64
+		// Increases with each change within an era. 0 before the first change.
+		Revision uint64
+	}
+
+	// Stamp is the part of a target's entry by which its entries are ordered
+	// across eras.
+	Stamp struct {
+		StartUnixMilli int64
+		Draining       bool
+	}
+
 	// Target is a server that announced itself in the store.
 	Target struct {
 		ID      TargetID
@@ -24,7 +44,8 @@
 		Address netip.AddrPort
 		Zone    string
 		// Maximum number of concurrent requests; at least 1.
-		Slots    int
+		Slots int
+		// A target that drains takes no new flows until it is started again.
 		Draining bool
 		// Warm-up time: the target is slow for this long after the announcement.
 		WarmUp time.Duration
@@ -81,18 +102,21 @@
 	// Event is one change of the published state. Exactly one of the fields
 	// after Revision is set.
 	Event struct {
+		// Era of Revision; 0 if it is the era of the update.
+		Era           uint64
 		Revision      uint64
 		Configuration *Configuration
 		// A new or changed announcement.
 		Target *Target
 		// ID of a target that is no longer listed.
 		Removed TargetID
+		// Stamp of the entry that was removed; zero if unknown.
+		RemovedStamp Stamp
 	}
 
 	// Update holds the changes between two revisions, or the whole state.
 	Update struct {
-		// Era of the store, which rises each time the store loses changes because
-		// it was restored from a copy; 0 if unknown.
+		// Era of Since and Revision; 0 if unknown.
 		Era uint64
 		// Revision after which the changes begin; 0 if the events are the whole
 		// state.
@@ -110,9 +134,20 @@
 	// TargetRecord is a listed target.
 	TargetRecord struct {
 		Target
-		// Revision of the target's announcement.
-		Revision uint64
+		// Position of the target's announcement.
+		Position Position
 		// End of the target's warm-up time, by the local clock.
 		WarmUpUntil time.Time
 	}
 )
+
+// Compare returns -1, 0 or 1 if p is before q, equal to q or after q.
+func (p Position) Compare(q Position) int {
+	return cmp.Or(cmp.Compare(p.Era, q.Era), cmp.Compare(p.Revision, q.Revision))
+}
+
+// After reports whether p is after q.
+func (p Position) After(q Position) bool { return p.Compare(q) > 0 }
+
+// Stamp returns the stamp of the entry.
+func (t *Target) Stamp() Stamp { return Stamp{StartUnixMilli: t.StartUnixMilli, Draining: t.Draining} }
--- a/internal/hsroster/message.go
+++ b/internal/hsroster/message.go
@@ -1,6 +1,7 @@
 package hsroster
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -97,9 +98,21 @@
 	default:
 		r.setState(now, m, Alive)
 	}
-	if m.version > r.version || (m.version == r.version && m.digest > r.digest) {
+	r.compareState(m, hb)
+}
+
+// compareState compares the state that the sender of a heartbeat holds with this
+// host's. A sender that does not know the era counts as in the same one.
+func (r *Roster) compareState(m *member, hb *hsschema.Heartbeat) {
+	era := hb.GetEra()
+	if era == 0 {
+		era = r.era
+	}
+	order := cmp.Or(cmp.Compare(era, r.era), cmp.Compare(m.version, r.version))
+	switch {
+	case order > 0 || (order == 0 && m.digest > r.digest):
 		r.out.NewerPeer = m.name
-	} else if m.version == r.version && hb.GetHistory() != r.historyDigest {
+	case order == 0 && hb.GetHistory() != r.historyDigest:
 		r.out.DivergentPeer = m.name
 	}
 }
@@ -223,6 +236,7 @@
 		Rumors:  r.pickRumors(),
 		Zone:    r.cfg.Zone,
 		Refused: r.storeUnavailable,
+		Era:     r.era,
 	}
 	// Acks carry no loads, since the pings of this host already do.
 	if kind == hsschema.Heartbeat_KIND_PING {
--- a/internal/hsroster/roster.go
+++ b/internal/hsroster/roster.go
@@ -71,10 +71,12 @@
 		MembershipChanged bool
 		// Member whose current manifest is newer than this host's, or empty. Of
 		// two manifests with one version, the one with the higher digest counts
-		// as newer.
+		// as newer. Where there is no host list: member whose published state is
+		// at a later position.
 		NewerPeer string
 		// Member that has the same manifest version but a different placement
-		// history, or empty.
+		// history, or whose published state is at the same position but differs,
+		// or empty.
 		DivergentPeer string
 	}
 
@@ -108,10 +110,13 @@
 		// refute a suspicion. On the wire it is Rumor.refute.
 		incarnation uint32
 		// Version and digest of this host's current manifest. Where there is no
-		// host list, version is the revision of the published state instead.
+		// host list, era and version are the position of the published state
+		// instead; era is 0 if unknown or unused.
+		era     uint64
 		version uint64
 		digest  uint64
-		// Digest of this host's placement history.
+		// Digest of this host's placement history or, where there is no host list,
+		// of the content of the published state.
 		historyDigest uint64
 		loads         []*hsschema.Load
 		// True if this host reports that the store is unavailable to it.
@@ -322,11 +327,13 @@
 	return r.out
 }
 
-// SetVersion sets the revision of the published state that this host holds,
-// which heartbeats carry. Unlike SetManifest, it does not notify members at
-// once.
-func (r *Roster) SetVersion(version uint64) {
-	r.version = version
+// SetState sets the position of the published state that this host holds, and
+// the digest of its content, which heartbeats carry. Unlike SetManifest, it does
+// not notify members at once.
+func (r *Roster) SetState(era, revision, digest uint64) {
+	r.era = era
+	r.version = revision
+	r.historyDigest = digest
 }
 
 // SetHistoryDigest sets the digest of this host's placement history, which
