--- a/internal/hsdirect/core.go
+++ b/internal/hsdirect/core.go
@@ -92,7 +92,7 @@
 		awaitedRoot     string
 		awaitedPosition hsfeed.Position
 		// Digests of peers' states at the position of this host's state that have
-		// nothing to add to it, although they differ from it; see fetchDivergent.
+		// nothing to add to it, although they differ from it; see compareState.
 		merged map[uint64]bool
 		// When merged was last cleared.
 		mergedSince time.Time
@@ -166,7 +166,7 @@
 	for i, s := range seeds {
 		names[i] = s.String()
 	}
-	c.applyRosterOutput(now, c.roster.AddSeeds(now, names))
+	c.applyRosterOutput(c.roster.AddSeeds(now, names))
 	return c.takeOutput()
 }
 
@@ -174,7 +174,7 @@
 // store, and decides again whether this host reads the store. It must be called
 // every TickInterval.
 func (c *Core) Tick(now time.Time) Output {
-	c.applyRosterOutput(now, c.roster.Tick(now))
+	c.applyRosterOutput(c.roster.Tick(now))
 	c.checkStoreLag(now)
 	c.elect(now)
 	c.applyChange(c.state.Tick(now))
@@ -189,7 +189,7 @@
 // peer in the zone can take it over.
 func (c *Core) Leave(now time.Time) Output {
 	c.leaving = true
-	c.applyRosterOutput(now, c.roster.Leave(now))
+	c.applyRosterOutput(c.roster.Leave(now))
 	c.elect(now)
 	return c.takeOutput()
 }
@@ -205,17 +205,11 @@
 		c.countCode(code)
 		return c.takeOutput()
 	}
-	if out.NewerPeer != "" && c.state.Adopt(now, c.peerPosition(hb.GetEra(), hb.GetVersion()), hb.GetHistory()) {
-		c.announceState()
-		out.NewerPeer = ""
-	}
+	c.compareState(now, &out, hb, from)
 	switch hb.GetKind() {
 	case hsschema.Heartbeat_KIND_UPDATE:
 		if hb.GetUpdate() != nil {
-			// applyPush itself requests a fetch if changes are missing.
 			c.applyPush(now, hb, from)
-			out.NewerPeer = ""
-			out.DivergentPeer = ""
 		}
 		c.relayReceived(hb)
 	case hsschema.Heartbeat_KIND_LOADS:
@@ -225,11 +219,30 @@
 			c.out.Report.EjectionDuration = peerEjectionDuration(c.zonePeersAlive)
 		}
 	}
-	c.fetchDivergent(now, out.DivergentPeer, hb)
-	c.applyRosterOutput(now, out)
+	c.applyRosterOutput(out)
 	return c.takeOutput()
 }
 
+// compareState compares the state of the sender of a heartbeat with the one here,
+// and fetches what this host lacks. The sender may have what this host lacks
+// although both are at the same position: after the store was restored, one of
+// the two may know what the store has lost. compareState does nothing if the
+// heartbeat itself carries an update.
+func (c *Core) compareState(now time.Time, out *hsroster.Output, hb *hsschema.Heartbeat, from netip.Addr) {
+	digest := hb.GetHistory()
+	switch {
+	case hb.GetUpdate() != nil:
+	case out.NewerPeer != "" && c.state.Adopt(now, c.peerPosition(hb.GetEra(), hb.GetVersion()), digest):
+		c.announceState()
+	case out.NewerPeer != "" && c.state.Position().Era == 0 && hb.GetEra() != 0:
+		c.requestFetch(now, from, hsfeed.Position{})
+	case out.NewerPeer != "":
+		c.requestFetch(now, from, c.state.Position())
+	case out.DivergentPeer != "" && digest != 0 && !c.merged[digest]:
+		c.requestFetch(now, from, hsfeed.Position{})
+	}
+}
+
 // ApplyStoreUpdate applies an update read from the store and sends the changes
 // to peers.
 func (c *Core) ApplyStoreUpdate(now time.Time, u *hsfeed.Update) Output {
@@ -267,7 +280,7 @@
 // tells peers if that changed.
 func (c *Core) SetStoreAvailable(now time.Time, available bool) Output {
 	c.storeUnavailable = !available
-	c.applyRosterOutput(now, c.roster.SetStoreUnavailable(now, c.storeUnavailable))
+	c.applyRosterOutput(c.roster.SetStoreUnavailable(now, c.storeUnavailable))
 	return c.takeOutput()
 }
 
@@ -322,30 +335,12 @@
 	return hsfeed.Position{Era: era, Revision: revision}
 }
 
-// fetchDivergent fetches the whole state of the sender of hb, if it differs from
-// the state here although both are at the same position: after the store was
-// restored, one of the two knows what the store has lost. It does not fetch a
-// state again that had nothing to add.
-func (c *Core) fetchDivergent(now time.Time, peer string, hb *hsschema.Heartbeat) {
-	if peer == "" || hb.GetHistory() == 0 || c.merged[hb.GetHistory()] {
-		return
-	}
-	if from, err := netip.ParseAddr(peer); err == nil {
-		c.requestFetch(now, from, hsfeed.Position{})
-	}
-}
-
 // applyRosterOutput adds to the output the heartbeats that the roster wants to
-// send, and a fetch if the roster found a peer at a higher revision.
-func (c *Core) applyRosterOutput(now time.Time, out hsroster.Output) {
+// send.
+func (c *Core) applyRosterOutput(out hsroster.Output) {
 	for _, h := range out.Heartbeats {
 		c.send(h.To, h.Message)
 	}
-	if out.NewerPeer != "" {
-		if from, err := netip.ParseAddr(out.NewerPeer); err == nil {
-			c.requestFetch(now, from, c.state.Position())
-		}
-	}
 }
 
 func (c *Core) requestFetch(now time.Time, from netip.Addr, since hsfeed.Position) {
--- a/internal/hsdirect/core_test.go
+++ b/internal/hsdirect/core_test.go
@@ -81,7 +81,7 @@
 func (c *cluster) publish() {
 	r := c.store.Revision() + 1
 	since := r - 1
-	c.store.Apply(c.now, &hsfeed.Update{Since: since, Revision: r, Events: []hsfeed.Event{{
+	c.store.Apply(c.now, &hsfeed.Update{Era: 1, Since: since, Revision: r, Events: []hsfeed.Event{{
 		Revision:      r,
 		Configuration: &hsfeed.Configuration{Version: r},
 	}}})
--- a/internal/hsdirect/elect.go
+++ b/internal/hsdirect/elect.go
@@ -45,7 +45,7 @@
 	c.reader = reader
 	c.storeBehindSince = time.Time{}
 	c.out.ReaderChanged = true
-	c.applyRosterOutput(now, c.roster.SetStoreUnavailable(now, c.storeUnavailable && reader))
+	c.applyRosterOutput(c.roster.SetStoreUnavailable(now, c.storeUnavailable && reader))
 }
 
 // aliveZonePeers returns the peers in this zone that are alive.
@@ -74,5 +74,5 @@
 	c.storeBehindSince = time.Time{}
 	c.out.Relist = true
 	c.storeUnavailable = true
-	c.applyRosterOutput(now, c.roster.SetStoreUnavailable(now, true))
+	c.applyRosterOutput(c.roster.SetStoreUnavailable(now, true))
 }
--- a/internal/hsdirect/explore_test.go
+++ b/internal/hsdirect/explore_test.go
@@ -35,6 +35,10 @@
 		disturbed time.Time
 		// Share of messages that are lost.
 		loss float64
+		// Mean number of ticks between two changes of the operator or of a target,
+		// and between two disturbances.
+		changeTicks  int
+		disturbTicks int
 		// First violation found; empty if none.
 		violation string
 	}
@@ -59,8 +63,9 @@
 		// Time before which the reader makes no further call.
 		nextCall time.Time
 		lists    int
-		// Highest version of a configuration of this process.
-		version uint64
+		// Highest version of a configuration of this process, and since when.
+		version      uint64
+		versionSince time.Time
 		// Targets that the host has listed as draining, or removed after it listed
 		// them, by their start: these must not become ready again.
 		ended map[hsfeed.TargetID]hsfeed.Stamp
@@ -73,17 +78,19 @@
 		up       bool
 		position hsfeed.Position
 		config   hsfeed.Event
-		entries  map[hsfeed.TargetID]hsfeed.Event
-		history  []hsfeed.Event
-		copies   []storeCopy
+		// Time at which config was written.
+		configSince time.Time
+		entries     map[hsfeed.TargetID]hsfeed.Event
+		history     []hsfeed.Event
+		copies      []storeCopy
 		// Writes that follow later, by their time.
 		pending []pendingWrite
 		// Truth: the newest configuration and its time, and the targets.
-		version   uint64
-		published time.Time
-		targets   map[hsfeed.TargetID]*modelTarget
-		lastID    hsfeed.TargetID
-		restored  time.Time
+		version uint64
+		targets map[hsfeed.TargetID]*modelTarget
+		lastID  hsfeed.TargetID
+		// Time within which the operator writes again after a restore.
+		operatorTime time.Duration
 	}
 
 	storeCopy struct {
@@ -108,9 +115,9 @@
 	}
 )
 
-// In the store of the model, as in that of the deployment, live targets and the
-// operator have written again within rewriteTime after a restore, and the entry
-// of a target that is gone expires after expiryTime.
+// In the store of the model, as in that of the deployment, live targets have
+// written again within rewriteTime after a restore, and the entry of a target
+// that is gone expires after expiryTime.
 const (
 	rewriteTime = 2 * time.Second
 	expiryTime  = 3600 * time.Millisecond
@@ -129,6 +136,7 @@
 	return &modelStore{
 		rng: rng, up: true, position: hsfeed.Position{Era: 1, Revision: 1},
 		entries: map[hsfeed.TargetID]hsfeed.Event{}, targets: map[hsfeed.TargetID]*modelTarget{},
+		operatorTime: []time.Duration{rewriteTime, 5 * rewriteTime}[rng.IntN(2)],
 	}
 }
 
@@ -138,7 +146,7 @@
 	ev.Revision = s.position.Revision
 	switch {
 	case ev.Configuration != nil:
-		s.config = ev
+		s.config, s.configSince = ev, now
 	case ev.Target != nil:
 		s.entries[ev.Target.ID] = ev
 	default:
@@ -158,7 +166,6 @@
 
 func (s *modelStore) publish(now time.Time) {
 	s.version += 1 + s.rng.Uint64N(3)
-	s.published = now
 	s.write(now, hsfeed.Event{Configuration: &hsfeed.Configuration{Version: s.version}})
 }
 
@@ -227,7 +234,6 @@
 // restore replaces the content by a copy. The operator and the targets write
 // again what is lacking, and the entries of targets that are gone expire.
 func (s *modelStore) restore(now time.Time) {
-	s.restored = now
 	age := time.Duration(s.rng.Int64N(int64(maxCopyAge)))
 	i := len(s.copies) - 1
 	for i > 0 && now.Sub(s.copies[i].at) < age {
@@ -241,8 +247,8 @@
 	for id, ev := range c.entries {
 		s.entries[id] = ev
 	}
-	wait := func() time.Time { return now.Add(time.Duration(s.rng.Int64N(int64(rewriteTime)))) }
-	s.later(wait(), func(now time.Time) {
+	wait := func(limit time.Duration) time.Time { return now.Add(time.Duration(s.rng.Int64N(int64(limit)))) }
+	s.later(wait(s.operatorTime), func(now time.Time) {
 		if s.config.Configuration == nil || s.config.Configuration.Version != s.version {
 			s.write(now, hsfeed.Event{Configuration: &hsfeed.Configuration{Version: s.version}})
 		}
@@ -252,7 +258,7 @@
 			s.later(now.Add(expiryTime), func(now time.Time) { s.remove(now, id) })
 			continue
 		}
-		s.later(wait(), func(now time.Time) { s.announce(now, id) })
+		s.later(wait(rewriteTime), func(now time.Time) { s.announce(now, id) })
 	}
 }
 
@@ -298,13 +304,14 @@
 
 func newExploration(seed uint64) *exploration {
 	rng := rand.New(rand.NewPCG(seed, 1))
-	x := &exploration{rng: rng, now: epoch, store: newModelStore(rng)}
+	x := &exploration{rng: rng, now: epoch, store: newModelStore(rng), changeTicks: []int{6, 30, 90}[rng.IntN(3)], disturbTicks: []int{12, 50}[rng.IntN(2)]}
+	zones := 1 + rng.IntN(3)
 	for range 4 {
 		x.store.start(x.now)
 	}
 	x.store.publish(x.now)
 	for i := range 5 + rng.IntN(3) {
-		h := &exploredHost{addr: netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), zone: string(rune('a' + i%3))}
+		h := &exploredHost{addr: netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), zone: string(rune('a' + i%zones))}
 		x.hosts = append(x.hosts, h)
 	}
 	for _, h := range x.hosts {
@@ -391,7 +398,7 @@
 		if c.Version < h.version {
 			x.fail("%s went back from version %d to %d", h.addr, h.version, c.Version)
 		}
-		h.version = c.Version
+		h.version, h.versionSince = c.Version, x.now
 	}
 	if !out.TargetsChanged {
 		return
@@ -419,11 +426,15 @@
 		return
 	}
 	s := x.store
-	state := h.core.State()
-	if x.now.Sub(s.published) > applyTime && state.Configuration().Version != s.version {
-		x.fail("%s is at version %d, %d was published %v ago", h.addr, state.Configuration().Version, s.version, x.now.Sub(s.published))
+	if c := s.config.Configuration; c != nil && x.now.Sub(s.configSince) > applyTime && h.version < c.Version {
+		x.fail("%s is at version %d, %d was published %v ago", h.addr, h.version, c.Version, x.now.Sub(s.configSince))
+	}
+	for _, other := range x.hosts {
+		if x.undisturbed(other) && x.now.Sub(other.versionSince) > applyTime && h.version < other.version {
+			x.fail("%s is at version %d, %s has had %d for %v", h.addr, h.version, other.addr, other.version, x.now.Sub(other.versionSince))
+		}
 	}
-	for _, record := range state.Targets() {
+	for _, record := range h.core.State().Targets() {
 		t := s.targets[record.ID]
 		if !record.Draining && !t.draining.IsZero() && x.now.Sub(t.draining) > defaultDrainTime {
 			x.fail("%s lists target %d as ready, which drains since %v", h.addr, record.ID, x.now.Sub(t.draining))
@@ -505,19 +516,26 @@
 	}
 }
 
-// run disturbs the hosts for exploredTime, and then checks that all of them
-// arrive at the content of the store.
+// run disturbs the hosts for exploredTime, restores the store once more while
+// one of them starts again, and then checks that all of them arrive at the
+// content of the store.
 func (x *exploration) run() {
 	for x.now.Before(epoch.Add(exploredTime)) && x.violation == "" {
-		if x.rng.IntN(12) == 0 {
+		if x.rng.IntN(x.disturbTicks) == 0 {
 			x.disturb()
 		}
-		if x.store.up && x.rng.IntN(6) == 0 {
+		if x.store.up && x.rng.IntN(x.changeTicks) == 0 {
 			x.store.change(x.now)
 		}
 		x.step()
 	}
 	x.cutZone, x.loss, x.store.up, x.disturbed = "", 0, true, x.now
+	if x.rng.IntN(2) == 0 {
+		x.store.publish(x.now)
+		x.step()
+		x.store.restore(x.now)
+		x.start(x.hosts[x.rng.IntN(len(x.hosts))])
+	}
 	lists := x.totalLists()
 	for end := x.now.Add(quietTime); x.now.Before(end) && x.violation == ""; {
 		x.step()
@@ -529,9 +547,9 @@
 	list := x.store.list()
 	_, code := want.Apply(x.now, &list)
 	for _, h := range x.hosts {
-		if got := h.core.State(); code != hscode.OK || got.Digest() != want.Digest() || got.Configuration().Version != x.store.version {
+		if got := h.core.State(); code != hscode.OK || got.Digest() != want.Digest() || got.Position().Era != x.store.position.Era || h.version != x.store.version {
 			x.fail("%s ends at %+v, version %d, %d targets; the store at %+v, version %d, %d targets", h.addr, got.Position(),
-				got.Configuration().Version, len(got.Targets()), x.store.position, x.store.version, len(want.Targets()))
+				h.version, len(got.Targets()), x.store.position, x.store.version, len(want.Targets()))
 		}
 	}
 }
--- a/internal/hsfeed/replica.go
+++ b/internal/hsfeed/replica.go
@@ -16,8 +16,7 @@
 		position Position
 		// Revision, in the era of position, up to which all changes have been
 		// received; never below the revision of position. An update without
-		// events, or with a whole state equal to the present one, raises only this
-		// number.
+		// events raises only this number.
 		receivedRevision uint64
 		// Nil before the first configuration. Its version never decreases, also
 		// where the store has an older one.
@@ -177,16 +176,10 @@
 }
 
 // replaceState replaces the state by a later whole state and empties the log,
-// since a whole state does not contain the changes in between. If a whole state
-// of the same era equals the present one, the position and the log stay as they
-// are, so that no other host fetches the state again.
+// since a whole state does not contain the changes in between.
 func (r *Replica) replaceState(now time.Time, p Position, events []Event, ch *Change) {
 	r.enterEra(now, p.Era)
 	r.targets.replace(now, p, events, ch)
-	if p.Era == r.position.Era && r.position.Revision > 0 && *ch == (Change{}) {
-		r.receivedRevision = max(r.receivedRevision, p.Revision)
-		return
-	}
 	r.moveTo(p)
 }
 
--- a/internal/hsfeed/replica_test.go
+++ b/internal/hsfeed/replica_test.go
@@ -59,18 +59,25 @@
 	assert.Equal(t, len(replica.Targets()), 0)
 }
 
-// TestReplicaUnchangedState checks that the revision stays when the same whole
-// state is applied again, so that no other host fetches it, and that a whole
-// state with a target removed is applied.
+// TestReplicaUnchangedState checks that a host at an earlier position does not
+// have to fetch the state when the same whole state is listed again: it moves to
+// the later position, since the digests are equal, and applies the changes after
+// it. A whole state with a target removed is applied, and has another digest.
 func TestReplicaUnchangedState(t *testing.T) {
-	replica := &Replica{}
+	replica, other := &Replica{}, &Replica{}
 	events := []Event{{Revision: 4, Configuration: newConfiguration(1, "desk")}, {Revision: 5, Target: newTarget(1, 3)}}
 	apply(t, replica, Update{Revision: 7, Events: events}, hscode.OK)
+	apply(t, other, Update{Revision: 7, Events: events}, hscode.OK)
 	assert.Equal(t, apply(t, replica, Update{Revision: 30, Events: events}, hscode.OK), Change{})
-	assert.Equal(t, replica.Revision(), uint64(7))
+	assert.Assert(t, other.Adopt(epoch, replica.Position(), replica.Digest()))
+	assert.Assert(t, !other.Adopt(epoch, replica.Position(), replica.Digest()))
+	assert.Equal(t, other.Position(), replica.Position())
 	apply(t, replica, Update{Revision: 31, Events: events[:1]}, hscode.OK)
 	assert.Equal(t, replica.Revision(), uint64(31))
 	assert.Equal(t, len(replica.Targets()), 0)
+	assert.Assert(t, !other.Adopt(epoch, replica.Position(), replica.Digest()))
+	apply(t, other, Update{Since: 30, Revision: 31, Events: []Event{{Revision: 31, Removed: 1}}}, hscode.OK)
+	assert.Equal(t, other.Digest(), replica.Digest())
 }
 
 // TestReplicaPreviousServices checks that a route keeps a list of its previous
