--- a/internal/hscode/hscode.go
+++ b/internal/hscode/hscode.go
@@ -175,7 +175,7 @@
 	{PlatformSize, "platform-size", "The platform's answer exceeds the size limit.", "See manifest-size."},
 	{PlatformHistory, "platform-history", "The store no longer has the changes that a watch requested; the whole state was read again.", "Nothing."},
 	{PlatformEntry, "platform-entry", "An entry of the store cannot be decoded and is not used.", "Find out which program wrote it; the path is its key."},
-	{PlatformOlder, "platform-older", "The store delivered an update that is older than the state of this host.", "Nothing, unless it lasts: find out whether the store was restored from a copy."},
+	{PlatformOlder, "platform-older", "The store has a configuration that is older than the current one, which stays: the store was restored from a copy.", "Publish the current configuration again, or a newer one."},
 	{ProcessSocket, "process-socket", "A socket could not be opened or used.", "Check address and port settings, and which other programs run on the host."},
 	{ProcessPaused, "process-paused", "The process was paused for longer than its limit, such as the lease setting.", "Find out what paused the process."},
 	{ProcessSend, "process-send", "A packet could not be sent.", "Check routes and socket buffer sizes."},
--- a/internal/hsdirect/control.go
+++ b/internal/hsdirect/control.go
@@ -41,11 +41,10 @@
 
 	// ControlStatus is the control task's part of the metrics.
 	ControlStatus struct {
-		Revision             uint64
+		State                hsfeed.Position
 		ConfigurationVersion uint64
-		// Era and revision of the store in its last response to this host.
-		StoreEra      uint64
-		StoreRevision uint64
+		// Position of the store in its last response to this host.
+		Store hsfeed.Position
 		// Time since a configuration or target list was last applied.
 		StateAge time.Duration
 		Targets  int
@@ -65,9 +64,8 @@
 		counts map[hscode.Code]uint64
 		// When a configuration or target list was last applied.
 		lastUpdate time.Time
-		// Era and revision of the store in its last response to this host.
-		answeredEra      uint64
-		answeredRevision uint64
+		// Position of the store in its last response to this host.
+		answered hsfeed.Position
 	}
 )
 
@@ -153,33 +151,37 @@
 	}
 }
 
-// logStoreUpdate logs a change of the store's era, and an update of the store
-// that is older than the state of this host.
+// logStoreUpdate logs a change of the store's era, and what the store has that
+// is older than the state of this host.
 func (c *controller) logStoreUpdate(u *hsfeed.Update) {
-	if u.Era != c.answeredEra {
+	state := c.core.State()
+	if before := c.answered; u.Era != before.Era {
 		c.e.log(log.InfoLevel, hscode.OK).
-			Uint64("era", u.Era).Uint64("before", c.answeredEra).
-			Uint64("revision", u.Revision).Uint64("state", c.core.State().Revision()).
+			Uint64("before", before.Era).Uint64("era", u.Era).Uint64("revision", u.Revision).
+			Uint64("state", state.Revision()).
 			Msg("era of the store changed")
 	}
-	if u.Revision < c.core.State().Revision() || (u.Era != c.answeredEra && u.Revision == c.core.State().Revision()) {
+	c.answered = u.Position()
+	for i := range u.Events {
+		stored, current := u.Events[i].Configuration, state.Configuration()
+		if stored == nil || current == nil || stored.Version >= current.Version {
+			continue
+		}
 		c.counts[hscode.PlatformOlder]++
 		c.e.log(log.WarnLevel, hscode.PlatformOlder).
-			Uint64("era", u.Era).Uint64("since", u.Since).Uint64("revision", u.Revision).
-			Uint64("state", c.core.State().Revision()).Int("events", len(u.Events)).
-			Msg("the store delivered an update that is older than the state of this host")
+			Uint64("era", u.Era).Uint64("revision", u.Events[i].Revision).
+			Uint64("version", stored.Version).Uint64("current", current.Version).
+			Msg("the store has an older configuration; keeping the current one")
 	}
-	c.answeredEra, c.answeredRevision = u.Era, u.Revision
 }
 
 func (c *controller) status(now time.Time) ControlStatus {
 	state := c.core.State()
 	st := ControlStatus{
-		Revision:      state.Revision(),
+		State:         state.Position(),
 		StateAge:      now.Sub(c.lastUpdate),
 		Targets:       len(state.Targets()),
-		StoreEra:      c.answeredEra,
-		StoreRevision: c.answeredRevision,
+		Store:         c.answered,
 		StoreReader:   c.core.IsReader(),
 		StoreCalls:    c.e.storeCalls.Load(),
 		StoreFailures: c.e.storeFailures.Load(),
--- a/internal/hsdirect/restore_test.go
+++ b/internal/hsdirect/restore_test.go
@@ -65,6 +65,10 @@
 func TestHeartbeatsAfterRestore(t *testing.T) {
 	c := newCluster(t, "a", "a", "b", "b")
 	c.advanceWithLoads(3 * time.Second)
+	for range 3 {
+		c.publish()
+	}
+	c.advanceWithLoads(time.Second)
 	reader := c.reader("a")
 	for _, h := range c.hosts {
 		h.storeUp = h == reader
@@ -96,8 +100,11 @@
 		c.applyOutput(h, h.core.ApplyStoreUpdate(c.now, &copied))
 	}
 	late := c.hosts[2]
+	c.messageLost = func(from, to netip.Addr) bool { return from == late.addr || to == late.addr }
 	c.start(late)
 	c.applyOutput(late, late.core.ApplyStoreUpdate(c.now, &copied))
+	assert.Equal(t, late.core.State().Configuration().Version, uint64(2))
+	c.messageLost = func(netip.Addr, netip.Addr) bool { return false }
 	c.advanceWithLoads(time.Second)
 	for _, h := range c.hosts {
 		assert.Equal(t, h.core.State().Configuration().Version, last, "host %s", h.addr)
--- a/internal/hsfeed/restore_test.go
+++ b/internal/hsfeed/restore_test.go
@@ -107,6 +107,36 @@
 	}
 }
 
+// TestChangesOfAnotherEra guards against changes that are applied to the state of another era because their revisions fit.
+func TestChangesOfAnotherEra(t *testing.T) {
+	replica := newRestored(t, entry(10, 1, 100, false))
+	apply(t, replica, Update{Era: 2, Since: 50, Revision: 51, Events: []Event{{Revision: 51, Removed: 1}}}, hscode.PeerGap)
+	apply(t, replica, Update{Era: 2, Since: 20, Revision: 21, Events: []Event{{Revision: 21, Removed: 1}}}, hscode.PeerGap)
+	found, _ := listed(replica, 1)
+	assert.Assert(t, found)
+	u, ok := replica.UpdateSince(Position{Era: 2, Revision: 10})
+	assert.Assert(t, !ok, "%v", u)
+	apply(t, replica, Update{Era: 2, Revision: 21}, hscode.OK)
+	u, ok = replica.UpdateSince(Position{Era: 1, Revision: 50})
+	assert.Assert(t, ok)
+	assert.Equal(t, u.Since, uint64(0))
+}
+
+// TestAdoptWithHeldEntries guards against a host that skips the removal of an entry that it holds, and lists the target later.
+func TestAdoptWithHeldEntries(t *testing.T) {
+	replica := newRestored(t, entry(10, 1, 100, false))
+	apply(t, replica, Update{Era: 1, Since: 50, Revision: 51, Events: []Event{{Revision: 51, Removed: 1}}}, hscode.OK)
+	apply(t, replica, Update{Era: 2, Revision: 40, Events: []Event{entry(10, 1, 100, false)}}, hscode.OK)
+	assert.Assert(t, !replica.Adopt(epoch, Position{Era: 2, Revision: 41}, replica.Digest()), "an empty state")
+	apply(t, replica, Update{Era: 2, Since: 40, Revision: 41, Events: []Event{entry(41, 2, 100, false)}}, hscode.OK)
+	assert.Assert(t, !replica.Adopt(epoch, Position{Era: 2, Revision: 42}, replica.Digest()))
+	apply(t, replica, Update{Era: 2, Since: 41, Revision: 42, Events: []Event{{Revision: 42, Removed: 1}}}, hscode.OK)
+	assert.Assert(t, replica.Adopt(epoch, Position{Era: 2, Revision: 43}, replica.Digest()))
+	replica.Tick(epoch.Add(holdTime))
+	found, _ := listed(replica, 1)
+	assert.Assert(t, !found)
+}
+
 func ptr[T any](v T) *T { return &v }
 
 // TestRestoredStatesMerge guards against hosts at one position that keep different states because only one of them knows what the store lost.
