hssoak: the store is restored from a copy

While all hosts are refused, the store goes back to one of its latest copies; newer copies are lost with it. Within two seconds the operator and the live targets write again, and entries of ended targets expire.

--- a/internal/hsdirect/restore_test.go
+++ b/internal/hsdirect/restore_test.go
@@ -113,7 +113,6 @@
 
 // restoredStore is in era 1 for the first call of Watch and in era 2 from then on, or in a new era at each call if it flaps.
 type restoredStore struct {
-	fakeStore
 	flaps   bool
 	lists   int
 	watches int
--- a/internal/hsfeed/restore_test.go
+++ b/internal/hsfeed/restore_test.go
@@ -69,24 +69,40 @@
 		now, settled bool
 		draining     bool
 	}{
-		{name: "draining target that the copy has as ready", before: []Event{entry(10, 1, started, false)},
-			change: entry(51, 1, started, true), copied: []Event{entry(10, 1, started, false)}, now: true, settled: true, draining: true},
-		{name: "target that had drained and left", before: []Event{entry(10, 1, started, true)},
-			change: Event{Revision: 51, Removed: 1}, copied: []Event{entry(10, 1, started, false)}},
-		{name: "target that left and was started again", before: []Event{entry(10, 1, started, true)},
+		{
+			name: "draining target that the copy has as ready", before: []Event{entry(10, 1, started, false)},
+			change: entry(51, 1, started, true), copied: []Event{entry(10, 1, started, false)}, now: true, settled: true, draining: true,
+		},
+		{
+			name: "target that had drained and left", before: []Event{entry(10, 1, started, true)},
 			change: Event{Revision: 51, Removed: 1}, copied: []Event{entry(10, 1, started, false)},
-			then: ptr(entry(41, 1, started+1, false)), now: true, settled: true},
-		{name: "silent target that the store removed", before: []Event{entry(10, 1, started, false)},
-			change: Event{Revision: 51, Removed: 1}, copied: []Event{entry(10, 1, started, false)}, settled: true},
-		{name: "silent target whose entry expires again", before: []Event{entry(10, 1, started, false)},
-			change: Event{Revision: 51, Removed: 1}, copied: []Event{entry(10, 1, started, false)}, then: &Event{Revision: 41, Removed: 1}},
-		{name: "target that started since and announces itself", change: entry(51, 1, started, false),
-			then: ptr(entry(41, 1, started, false)), now: true, settled: true},
+		},
+		{
+			name: "target that left and was started again", before: []Event{entry(10, 1, started, true)},
+			change: Event{Revision: 51, Removed: 1}, copied: []Event{entry(10, 1, started, false)},
+			then: ptr(entry(41, 1, started+1, false)), now: true, settled: true,
+		},
+		{
+			name: "silent target that the store removed", before: []Event{entry(10, 1, started, false)},
+			change: Event{Revision: 51, Removed: 1}, copied: []Event{entry(10, 1, started, false)}, settled: true,
+		},
+		{
+			name: "silent target whose entry expires again", before: []Event{entry(10, 1, started, false)},
+			change: Event{Revision: 51, Removed: 1}, copied: []Event{entry(10, 1, started, false)}, then: &Event{Revision: 41, Removed: 1},
+		},
+		{
+			name: "target that started since and announces itself", change: entry(51, 1, started, false),
+			then: ptr(entry(41, 1, started, false)), now: true, settled: true,
+		},
 		{name: "target that started since and does not", change: entry(51, 1, started, false)},
-		{name: "target that was started again since", before: []Event{entry(10, 1, started, false)},
-			change: entry(51, 1, started+1, false), copied: []Event{entry(10, 1, started, false)}, now: true, settled: true},
-		{name: "draining target that leaves in the new era", before: []Event{entry(10, 1, started, true)},
-			change: entry(51, 2, started, false), copied: []Event{entry(10, 1, started, false)}, then: &Event{Revision: 41, Removed: 1}},
+		{
+			name: "target that was started again since", before: []Event{entry(10, 1, started, false)},
+			change: entry(51, 1, started+1, false), copied: []Event{entry(10, 1, started, false)}, now: true, settled: true,
+		},
+		{
+			name: "draining target that leaves in the new era", before: []Event{entry(10, 1, started, true)},
+			change: entry(51, 2, started, false), copied: []Event{entry(10, 1, started, false)}, then: &Event{Revision: 41, Removed: 1},
+		},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/hssoak/checker.go
+++ b/internal/hssoak/checker.go
@@ -329,6 +329,19 @@
 	delete(c.flows, from)
 }
 
+// endedTargets returns the targets that have ended.
+func (c *checker) endedTargets() []hsfeed.TargetID {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []hsfeed.TargetID
+	for id, t := range c.targets {
+		if !t.alive {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 func (c *checker) setStoreDisturbed() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/hssoak/faults.go
+++ b/internal/hssoak/faults.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"syscall"
 	"time"
 
@@ -32,6 +33,12 @@
 	// expiryTime is the time after a target's crash at which its entry is
 	// removed: three announcement intervals.
 	expiryTime = 3600 * time.Millisecond
+	// maxCopies is the number of copies of the store that are kept; the oldest is
+	// some eight seconds old.
+	maxCopies = 12
+	// rewriteTime is the maximum time after a restore of the store until targets
+	// and the operator have written again what it lost.
+	rewriteTime = 2 * time.Second
 	// reuseDelay is the time between the end of a target and the reuse of its
 	// address by another one.
 	reuseDelay = 2 * time.Second
@@ -50,6 +57,7 @@
 		{"store disturbance for one host", disturbStoreForOne},
 		{"store disturbance for all hosts", disturbStoreForAll},
 		{"store drops its history", func(_ context.Context, s *soak, _ *rand.Rand) { s.cfg.Store.DropHistory() }},
+		{"store restored from a copy", restoreStore},
 		{"configuration", func(_ context.Context, s *soak, _ *rand.Rand) { s.publishConfiguration() }},
 		{"series of configurations", publishSeries},
 		{"drain and reuse", onTarget("drain target %x", drain)},
@@ -181,15 +189,9 @@
 func disturbStoreForAll(ctx context.Context, s *soak, rng *rand.Rand) {
 	m := modeRefuse + mode(rng.IntN(int(modeSlow)))
 	s.trace("store connections of all hosts: %s", modeNames[m])
-	for _, h := range s.hosts {
-		h.proxy.setMode(m)
-	}
-	s.checker.setStoreDisturbed()
+	s.setStoreModes(m)
 	sleepFaultTime(ctx, rng)
-	for _, h := range s.hosts {
-		h.proxy.setMode(modePass)
-	}
-	s.checker.setStoreDisturbed()
+	s.setStoreModes(modePass)
 }
 
 func publishSeries(ctx context.Context, s *soak, _ *rand.Rand) {
@@ -213,10 +215,59 @@
 			Timeout: 2 * time.Second, LatencyObjective: 250 * time.Millisecond, Priority: 1,
 		})
 	}
+	s.configuration = c
 	s.cfg.Store.Publish(&hsfeed.Event{Configuration: c})
 	s.checker.setRoutes(c.Routes, time.Now())
 }
 
+// copyStore copies the store and keeps the last maxCopies copies.
+func (s *soak) copyStore() {
+	restore := s.cfg.Store.Copy()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.copies = append(s.copies, restore)
+	if len(s.copies) > maxCopies {
+		s.copies = s.copies[1:]
+	}
+}
+
+// restoreStore makes the store unavailable and restores it from a copy. The
+// operator and the targets write again what is lost, and the entries of targets
+// that have ended expire again. Newer copies than the one that is restored are
+// lost too.
+func restoreStore(ctx context.Context, s *soak, rng *rand.Rand) {
+	s.setStoreModes(modeRefuse)
+	hstask.Sleep(ctx, randDuration(rng, minFaultTime, rewriteTime))
+	s.mu.Lock()
+	i := rng.IntN(len(s.copies))
+	s.trace("restore copy %d of %d", i, len(s.copies))
+	s.copies[i]()
+	s.copies = s.copies[:i+1]
+	s.mu.Unlock()
+	s.setStoreModes(modePass)
+	hstask.Sleep(ctx, randDuration(rng, 0, rewriteTime))
+	s.mu.Lock()
+	s.cfg.Store.Publish(&hsfeed.Event{Configuration: s.configuration})
+	targets := slices.Clone(s.targets)
+	s.mu.Unlock()
+	for _, t := range targets {
+		t.publish()
+	}
+	s.checker.setStoreDisturbed()
+	hstask.Sleep(ctx, expiryTime)
+	for _, id := range s.checker.endedTargets() {
+		s.cfg.Store.Publish(&hsfeed.Event{Removed: id})
+	}
+}
+
+// setStoreModes sets the mode of all hosts' connections to the store.
+func (s *soak) setStoreModes(m mode) {
+	for _, h := range s.hosts {
+		h.proxy.setMode(m)
+	}
+	s.checker.setStoreDisturbed()
+}
+
 // route returns a route for a new flow. A quarter of the flows take any route
 // that was ever published, including dropped ones.
 func (s *soak) route(rng *rand.Rand) netip.AddrPort {
@@ -232,8 +283,7 @@
 func drain(ctx context.Context, t *target, rng *rand.Rand) {
 	s := t.s
 	s.addOrFail(ctx, t.entry.Service, t.entry.Zone, s.newAddr())
-	t.entry.Draining = true
-	t.publish()
+	t.drain()
 	s.checker.targetEndPublished(t.entry.ID, time.Now())
 	hstask.Sleep(ctx, drainTime+randDuration(rng, minFaultTime, 3*time.Second))
 	t.remove()
--- a/internal/hssoak/soak.go
+++ b/internal/hssoak/soak.go
@@ -1,9 +1,10 @@
 // Package hssoak is a soak test: it runs real hsdirect processes on loopback,
 // injects faults from outside them, and checks meanwhile what callers and
 // targets observe. Signals kill, pause, stop and restart processes; proxies cut
-// off or slow down the connections to the store; the store drops its history;
-// targets drain, crash, become unresponsive and hand their addresses to other
-// targets; and new configurations are published, some in quick succession.
+// off or slow down the connections to the store; the store drops its history, or
+// is restored from a copy; targets drain, crash, become unresponsive and hand
+// their addresses to other targets; and new configurations are published, some
+// in quick succession.
 package hssoak
 
 import (
@@ -45,6 +46,8 @@
 		http.Handler
 		Publish(ev *hsfeed.Event) uint64
 		DropHistory()
+		// Copy copies the content; the returned function restores the copy.
+		Copy() (restore func())
 	}
 
 	// Config configures a run.
@@ -92,6 +95,10 @@
 		lastID   hsfeed.TargetID
 		lastAddr byte
 		version  uint64
+		// Current configuration.
+		configuration *hsfeed.Configuration
+		// Functions that restore the latest copies of the store, oldest first.
+		copies []func()
 	}
 )
 
@@ -183,6 +190,7 @@
 	// not on other random draws of the run.
 	plan := rand.New(rand.NewPCG(s.cfg.Seed, 2))
 	for end := time.Now().Add(s.cfg.Duration); time.Now().Before(end) && ctx.Err() == nil; {
+		s.copyStore()
 		f := faults[plan.IntN(len(faults))]
 		rng := rand.New(rand.NewPCG(s.cfg.Seed, plan.Uint64()))
 		interval := randDuration(rng, minFaultInterval, maxFaultInterval)
--- a/internal/hssoak/target.go
+++ b/internal/hssoak/target.go
@@ -22,9 +22,15 @@
 	// target is a simulated target that answers callers directly, as in direct
 	// server return (DSR).
 	target struct {
-		s     *soak
+		s *soak
+		// Does not change, except for entry.Draining; see published.
 		entry hsfeed.Target
 		conn  *net.UDPConn
+		// Orders what the target writes to the store, and protects entry.Draining
+		// and removed.
+		published sync.Mutex
+		// True once the entry was removed for good.
+		removed bool
 		// Locked by the fault that acts on the target.
 		busy sync.Mutex
 
@@ -82,14 +88,31 @@
 	return nil
 }
 
-// publish writes the current entry of the target to the store.
+// publish writes the current entry of the target to the store, unless it was
+// removed.
 func (t *target) publish() {
+	t.published.Lock()
+	defer t.published.Unlock()
+	if t.removed {
+		return
+	}
 	entry := t.entry
 	t.s.cfg.Store.Publish(&hsfeed.Event{Target: &entry})
 }
 
+// drain announces that the target drains.
+func (t *target) drain() {
+	t.published.Lock()
+	t.entry.Draining = true
+	t.published.Unlock()
+	t.publish()
+}
+
 // remove removes the target's entry from the store.
 func (t *target) remove() {
+	t.published.Lock()
+	defer t.published.Unlock()
+	t.removed = true
 	t.s.cfg.Store.Publish(&hsfeed.Event{Removed: t.entry.ID})
 	t.s.checker.targetEndPublished(t.entry.ID, time.Now())
 }
