hsroster: a host whose clock was set back is heard again after a restart

Seen by reading for numbers that may go back: hsentry takes its boot number from the clock, and its peers drop signed messages with a lower one as replays (5006), for as long as the clock was set back: the host owns no target meanwhile. Change: the answer to such a message carries the boot number that is known; the host raises its own above it. Where there is no host list, messages are not signed, and nothing changes. TestClockSetBack failed before (h0 considers h3 dead after 2 s), passes now. hsdirect is not affected (TestAllRestart).

--- a/internal/hsroster/message.go
+++ b/internal/hsroster/message.go
@@ -18,6 +18,7 @@
 		return r.out, hscode.PeerUnknown
 	}
 	if r.isOldBoot(now, m, hb) {
+		r.answerOldBoot(m)
 		return r.out, hscode.PeerOldBoot
 	}
 	r.updateSender(now, m, hb)
@@ -51,6 +52,17 @@
 	return r.cfg.MaxMembers == 0 || now.Sub(m.lastHeard) <= r.cfg.ProbeInterval+r.cfg.SuspectTimeout
 }
 
+// answerOldBoot tells the sender of a dropped message which boot of it is known;
+// see refuteRumor. The answer to a replayed message does no harm.
+func (r *Roster) answerOldBoot(m *member) {
+	if r.cfg.MaxMembers > 0 {
+		return
+	}
+	r.addHeartbeat(m.name, hsschema.Heartbeat_KIND_ACK, 0, "")
+	hb := r.out.Heartbeats[len(r.out.Heartbeats)-1].Message
+	hb.Rumors = append(hb.Rumors, &hsschema.Rumor{Host: m.name, Boot: m.boot, Refute: m.incarnation, State: hsschema.Rumor_STATE_DEAD})
+}
+
 // introduceMembers adds rumors about alive members to the last heartbeat in the
 // output, which answers a ping of m: many of them in the first answer since its
 // start, a few in any other one. Members in its zone come first, since it needs
@@ -210,10 +222,25 @@
 }
 
 // refuteRumor refutes a rumor that this host is suspect or dead: it raises its
-// incarnation number above the rumor's and notifies members.
+// incarnation number above the rumor's and notifies members. If the rumor is
+// about a boot with a higher number, which only an earlier process of this host
+// can have used, it first raises its boot number. Where there is no host list,
+// messages are not signed, and isOldBoot accepts lower numbers instead.
 func (r *Roster) refuteRumor(now time.Time, rumor *hsschema.Rumor) {
 	isSuspicion := rumor.GetState() == hsschema.Rumor_STATE_SUSPECT || rumor.GetState() == hsschema.Rumor_STATE_DEAD
-	if !isSuspicion || rumor.GetBoot() > r.cfg.Boot || rumor.GetRefute() < r.incarnation {
+	if !isSuspicion {
+		return
+	}
+	if rumor.GetBoot() > r.boot {
+		if r.cfg.MaxMembers > 0 {
+			return
+		}
+		r.boot = rumor.GetBoot() + 1
+		r.incarnation = 0
+		r.notifyMembers(now)
+		return
+	}
+	if rumor.GetRefute() < r.incarnation {
 		return
 	}
 	r.incarnation = rumor.GetRefute() + 1
@@ -225,7 +252,7 @@
 	hb := &hsschema.Heartbeat{
 		Kind:    kind,
 		From:    r.cfg.Self,
-		Boot:    r.cfg.Boot,
+		Boot:    r.boot,
 		Seq:     seq,
 		About:   about,
 		Version: r.version,
@@ -257,7 +284,7 @@
 	slices.SortStableFunc(pending, func(a, b *member) int { return a.spreadCount - b.spreadCount })
 	var out []*hsschema.Rumor
 	if r.incarnation > 0 {
-		out = append(out, &hsschema.Rumor{Host: r.cfg.Self, Boot: r.cfg.Boot, Refute: r.incarnation, State: hsschema.Rumor_STATE_ALIVE})
+		out = append(out, &hsschema.Rumor{Host: r.cfg.Self, Boot: r.boot, Refute: r.incarnation, State: hsschema.Rumor_STATE_ALIVE})
 	}
 	for _, m := range pending[:min(len(pending), maxRumors)] {
 		m.spreadCount++
--- a/internal/hsroster/roster.go
+++ b/internal/hsroster/roster.go
@@ -85,6 +85,9 @@
 	Roster struct {
 		cfg Config
 		rng *rand.Rand
+		// Boot number in this host's messages: Config.Boot, unless that is lower
+		// than the one of an earlier process, since the clock was set back.
+		boot uint64
 		// All members except this host, by name.
 		members map[string]*member
 		// All members, sorted by name; nil after a member was added or removed.
@@ -205,6 +208,7 @@
 func New(cfg Config) *Roster {
 	return &Roster{
 		cfg:     cfg,
+		boot:    cfg.Boot,
 		rng:     rand.New(rand.NewPCG(cfg.RandomSeed, cfg.Boot)),
 		members: map[string]*member{},
 		probes:  map[uint64]*probe{},
--- a/internal/hsroster/roster_test.go
+++ b/internal/hsroster/roster_test.go
@@ -123,3 +123,29 @@
 	_, code = c.rosters[0].Receive(c.now, &hsschema.Heartbeat{Kind: hsschema.Heartbeat_KIND_ACK, From: hostName(1), Boot: 8})
 	assert.Equal(t, code, hscode.PeerOldBoot)
 }
+
+// TestClockSetBack guards against a host that restarts with a lower boot number, since its clock was set back, and is ignored by all others.
+func TestClockSetBack(t *testing.T) {
+	c := newCluster()
+	c.dead[3] = true
+	c.run(2 * time.Second)
+	var hosts []hsmanifest.Host
+	for i := range memberCount {
+		hosts = append(hosts, hsmanifest.Host{Name: hostName(i)})
+		c.rosters[i].boot += 1000
+	}
+	for i, r := range c.rosters {
+		if i != 3 {
+			r.members[hostName(3)].boot = 1000
+		}
+	}
+	c.rosters[3] = New(Config{Self: hostName(3), Boot: 5, ProbeInterval: 250 * time.Millisecond, SuspectTimeout: 400 * time.Millisecond, RandomSeed: 3})
+	c.rosters[3].SetHosts(c.now, hosts)
+	c.dead[3] = false
+	c.run(2 * time.Second)
+	for i, r := range c.rosters {
+		for name, status := range r.Status() {
+			assert.Assert(t, status.Alive, "%s considers %s dead", hostName(i), name)
+		}
+	}
+}
