--- a/internal/hssoak/soak.go
+++ b/internal/hssoak/soak.go
@@ -205,9 +205,13 @@
 	_ = running.Wait()
 }
 
-// finish checks that flows are served again after the recovery time and that
-// planned stops of all processes succeed.
+// finish restores the store once more and publishes a configuration, with no
+// later changes that would hide a configuration which was ignored. It checks that
+// flows are served again after the recovery time and that planned stops of all
+// processes succeed.
 func (s *soak) finish(ctx context.Context) {
+	restoreStore(ctx, s, rand.New(rand.NewPCG(s.cfg.Seed, 3)))
+	s.publishConfiguration()
 	hstask.Sleep(ctx, s.cfg.RecoveryTime)
 	s.checker.setRecovered()
 	hstask.Sleep(ctx, checkTime)
