--- a/internal/hsfeed/replica_test.go
+++ b/internal/hsfeed/replica_test.go
@@ -37,7 +37,7 @@
 }
 
 // TestReplicaNeverGoesBack checks that an update to an older or the same
-// revision changes nothing, whatever its events are.
+// revision changes nothing if its configuration has a lower version.
 func TestReplicaNeverGoesBack(t *testing.T) {
 	replica := &Replica{}
 	apply(t, replica, Update{Revision: 10, Events: []Event{{Revision: 9, Configuration: newConfiguration(2, "desk")}}}, hscode.OK)
