--- a/internal/hsdirect/explore_test.go
+++ b/internal/hsdirect/explore_test.go
@@ -28,7 +28,7 @@
 		store *modelStore
 		hosts []*exploredHost
 		// Messages under way.
-		mail []letter
+		inFlight []message
 		// Zone that is cut off from the others; empty if none.
 		cutZone string
 		// Time of the last start or end of a cut, of loss, or of an outage.
@@ -43,8 +43,8 @@
 		violation string
 	}
 
-	// letter is a message to a host, or its call of a peer.
-	letter struct {
+	// message is a message on its way to a host, or a call of a peer.
+	message struct {
 		at      time.Time
 		from    *exploredHost
 		to      *exploredHost
@@ -332,26 +332,26 @@
 	return x.hosts[i]
 }
 
-// post delivers a message after a random delay, unless it is lost.
-func (x *exploration) post(from, to *exploredHost, deliver func()) {
+// send delivers a message after a random delay, unless it is lost.
+func (x *exploration) send(from, to *exploredHost, deliver func()) {
 	if x.rng.Float64() < x.loss {
 		return
 	}
 	delay := time.Duration(x.rng.IntN(maxDelayTicks)) * TickInterval
-	x.mail = append(x.mail, letter{at: x.now.Add(delay), from: from, to: to, deliver: deliver})
+	x.inFlight = append(x.inFlight, message{at: x.now.Add(delay), from: from, to: to, deliver: deliver})
 }
 
 func (x *exploration) cut(from, to *exploredHost) bool {
 	return x.cutZone != "" && from.zone != to.zone && (from.zone == x.cutZone || to.zone == x.cutZone)
 }
 
-func (x *exploration) deliverMail() {
-	due := x.mail
-	x.mail = nil
+func (x *exploration) deliverMessages() {
+	due := x.inFlight
+	x.inFlight = nil
 	for _, m := range due {
 		switch {
 		case m.at.After(x.now):
-			x.mail = append(x.mail, m)
+			x.inFlight = append(x.inFlight, m)
 		case m.to.running && !x.cut(m.from, m.to):
 			m.deliver()
 		}
@@ -363,7 +363,7 @@
 	for _, m := range out.Heartbeats {
 		to := x.host(m.To)
 		data, _ := proto.Marshal(m.Message)
-		x.post(h, to, func() {
+		x.send(h, to, func() {
 			hb := &hsschema.Heartbeat{}
 			if proto.Unmarshal(data, hb) == nil {
 				x.apply(to, to.core.Receive(x.now, hb, h.addr))
@@ -373,12 +373,12 @@
 	for _, f := range out.Fetches {
 		peer := x.host(f.From)
 		core := h.core
-		x.post(h, peer, func() {
+		x.send(h, peer, func() {
 			u, ok := peer.core.State().UpdateSince(f.Since)
 			if !ok {
 				return
 			}
-			x.post(peer, h, func() {
+			x.send(peer, h, func() {
 				if decoded, valid := hsfeed.FromProto(hsfeed.ToProto(&u)); valid && h.core == core {
 					x.apply(h, core.ApplyFetchedUpdate(x.now, &decoded))
 				}
@@ -507,7 +507,7 @@
 func (x *exploration) step() {
 	x.now = x.now.Add(TickInterval)
 	x.store.tick(x.now)
-	x.deliverMail()
+	x.deliverMessages()
 	for _, h := range x.hosts {
 		x.read(h)
 		x.apply(h, h.core.Tick(x.now))
