--- a/internal/hssoak/soak.go
+++ b/internal/hssoak/soak.go
@@ -167,6 +167,7 @@
 		}
 	}
 	s.publishConfiguration()
+	s.copyStore()
 	for _, h := range s.hosts {
 		if err := h.start(); err != nil {
 			return errors.Trace(err)
