--- a/internal/hsdirect/core.go
+++ b/internal/hsdirect/core.go
@@ -1,6 +1,7 @@
 package hsdirect
 
 import (
+	"cmp"
 	"net/netip"
 	"time"
 
@@ -329,10 +330,7 @@
 // peerPosition returns the position that a peer means by an era and a revision.
 // Peers that do not know the era count as in the same one as this host.
 func (c *Core) peerPosition(era, revision uint64) hsfeed.Position {
-	if era == 0 {
-		era = c.state.Position().Era
-	}
-	return hsfeed.Position{Era: era, Revision: revision}
+	return hsfeed.Position{Era: cmp.Or(era, c.state.Position().Era), Revision: revision}
 }
 
 // applyRosterOutput adds to the output the heartbeats that the roster wants to
--- a/internal/hsfeed/proto.go
+++ b/internal/hsfeed/proto.go
@@ -84,14 +84,13 @@
 		return nil, false
 	}
 	return &Target{
-		ID:       TargetID(b.GetId()),
-		Service:  b.GetService(),
-		Address:  addr,
-		Zone:     b.GetZone(),
-		Slots:    int(b.GetSlots()),
-		Draining: b.GetDraining(),
-		WarmUp:   fromMilliseconds(b.GetCold()),
-
+		ID:             TargetID(b.GetId()),
+		Service:        b.GetService(),
+		Address:        addr,
+		Zone:           b.GetZone(),
+		Slots:          int(b.GetSlots()),
+		Draining:       b.GetDraining(),
+		WarmUp:         fromMilliseconds(b.GetCold()),
 		StartUnixMilli: b.GetBorn(),
 	}, true
 }
--- a/internal/hsfeed/replica.go
+++ b/internal/hsfeed/replica.go
@@ -1,6 +1,7 @@
 package hsfeed
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -84,7 +85,7 @@
 // between the state and the update are missing, Apply returns PeerGap; the
 // caller then has to fetch them.
 func (r *Replica) Apply(now time.Time, u *Update) (Change, hscode.Code) {
-	p := Position{Era: orDefault(u.Era, r.position.Era), Revision: u.Revision}
+	p := Position{Era: cmp.Or(u.Era, r.position.Era), Revision: u.Revision}
 	var ch Change
 	r.applyConfigurations(u.Events, &ch)
 	order := p.Compare(r.position)
@@ -113,13 +114,6 @@
 	return ch, hscode.OK
 }
 
-func orDefault(era, fallback uint64) uint64 {
-	if era == 0 {
-		return fallback
-	}
-	return era
-}
-
 // Adopt advances the replica to the position of a host whose state has the given
 // digest, if the state here has the same, so that it does not have to be fetched.
 // It reports whether it did. While entries are held, changes within the era may
@@ -146,7 +140,7 @@
 // log does not reach back that far. An unknown era counts as the current one.
 // UpdateSince returns false if nothing changed.
 func (r *Replica) UpdateSince(p Position) (Update, bool) {
-	p.Era = orDefault(p.Era, r.position.Era)
+	p.Era = cmp.Or(p.Era, r.position.Era)
 	if p.Revision == 0 {
 		return r.wholeState(), r.position.Revision > 0
 	}
--- a/internal/hsfeed/targets.go
+++ b/internal/hsfeed/targets.go
@@ -143,7 +143,7 @@
 // apply applies an event and records in ch what it changed. era is the current
 // era.
 func (s *targetSet) apply(now time.Time, era uint64, ev *Event, ch *Change) {
-	p := Position{Era: orDefault(ev.Era, era), Revision: ev.Revision}
+	p := Position{Era: cmp.Or(ev.Era, era), Revision: ev.Revision}
 	switch {
 	case ev.Configuration != nil:
 	case ev.Target != nil:
--- a/internal/hsroster/message.go
+++ b/internal/hsroster/message.go
@@ -116,11 +116,7 @@
 // compareState compares the state that the sender of a heartbeat holds with this
 // host's. A sender that does not know the era counts as in the same one.
 func (r *Roster) compareState(m *member, hb *hsschema.Heartbeat) {
-	era := hb.GetEra()
-	if era == 0 {
-		era = r.era
-	}
-	order := cmp.Or(cmp.Compare(era, r.era), cmp.Compare(m.version, r.version))
+	order := cmp.Or(cmp.Compare(cmp.Or(hb.GetEra(), r.era), r.era), cmp.Compare(m.version, r.version))
 	switch {
 	case order > 0 || (order == 0 && m.digest > r.digest):
 		r.out.NewerPeer = m.name
