hsplace, hsfeed: one exclusion reason for each target; schema for evacuations, cold targets and paces

Cause: evacuated zones, cold targets, ejections and learned pace all bear on the choice of a target, and will be built side by side. Change: Placer.exclusion gives the one reason for which a target takes no new flow; ejections are overridden if nothing else is left, other reasons never.

--- a/internal/hscode/hscode.go
+++ b/internal/hscode/hscode.go
@@ -92,6 +92,8 @@
 
 	FlowUnknownCookie Code = 4017
 	FlowOverload      Code = 4018
+	FlowEvacuated     Code = 4019
+	FlowTargetLost    Code = 4020
 
 	PeerUnknown  Code = 5001
 	PeerMAC      Code = 5002
@@ -163,6 +165,8 @@
 	{FlowUnanswered, "flow-unanswered", "A target did not answer the packets of a flow; the caller was sent nothing and may retry.", "Look for unreachable targets or zones."},
 	{FlowUnknownCookie, "flow-unknown-cookie", "A packet of an open flow carries a cookie that matches no target of its route; it was dropped.", "Look for targets that left the store early, or for forged packets."},
 	{FlowOverload, "flow-overload", "No target had capacity for the flow in time; the opening packet was refused and no request was run.", "Add targets, or find out what keeps their slots in use."},
+	{FlowEvacuated, "flow-evacuated", "All targets of the service are in zones that are being evacuated; the opening packet was refused and no request was run.", "End an evacuation, or add targets in other zones."},
+	{FlowTargetLost, "flow-target-lost", "The flow's target no longer exists; the flow was reset so that its caller can open another.", "Find out why the target ended without draining."},
 	{PeerUnknown, "peer-unknown", "A message between entry hosts came from an address that is not a listed host.", "Look for a host that is not listed, or for a sender of forged packets."},
 	{PeerMAC, "peer-mac", "The MAC of a control message is wrong.", "Compare the key settings of the hosts."},
 	{PeerMessage, "peer-message", "A control message cannot be decoded.", "Check that releases are compatible."},
--- a/internal/hscookie/core.go
+++ b/internal/hscookie/core.go
@@ -25,6 +25,8 @@
 		MaxFlowLifetime time.Duration
 		// Time at which the host started.
 		StartTime time.Time
+		// See hsdirect.Settings.
+		LearnCapacity bool
 	}
 
 	// Action is what the host does with a packet.
@@ -155,6 +157,7 @@
 // SetConfiguration replaces the current configuration.
 func (c *Core) SetConfiguration(now time.Time, cfg *hsfeed.Configuration) {
 	c.routes.setConfiguration(now, cfg)
+	c.placer.SetServices(cfg.Services)
 }
 
 // SetTargets replaces the list of targets.
--- a/internal/hsdirect/settings.go
+++ b/internal/hsdirect/settings.go
@@ -31,6 +31,17 @@
 		// Time for which a target keeps serving after it announced that it drains or
 		// is no longer listed; 0 means defaultDrainTime.
 		DrainTime time.Duration
+		// Time within which the evacuation of a zone has to be applied; 0 if the
+		// deployment gives none.
+		EvacuationDeadline time.Duration
+		// The limit of new flows for a target during its warm-up time, in any
+		// second, is its rate times WarmUpOverage plus WarmUpSlack; 0 if the
+		// deployment gives none.
+		WarmUpOverage float64
+		WarmUpSlack   float64
+		// True if targets differ in speed or fail in ways that their entries do not
+		// show, so that the host has to learn their capacity from their answers.
+		LearnCapacity bool
 	}
 )
 
--- a/internal/hsfeed/proto.go
+++ b/internal/hsfeed/proto.go
@@ -1,12 +1,16 @@
 package hsfeed
 
 import (
+	"math"
 	"net/netip"
 	"time"
 
 	"heatherstack.org/heatherstack/internal/hsschema"
 )
 
+// rateUnits is the unit of rates in messages: thousandths of flows a second.
+const rateUnits = 1000
+
 // ToProto converts an update to its protobuf message, without Update.Errors.
 func ToProto(u *Update) *hsschema.Update {
 	out := &hsschema.Update{Era: u.Era, Since: u.Since, Revision: u.Revision}
@@ -101,7 +105,7 @@
 		out.Routes = append(out.Routes, routeToProto(&c.Routes[i]))
 	}
 	for _, s := range c.Services {
-		out.Services = append(out.Services, &hsschema.Pool{Name: s.Name, Health: s.HealthPath, Connections: uint32(s.MaxConnections)})
+		out.Services = append(out.Services, serviceToProto(&s))
 	}
 	return out
 }
@@ -116,11 +120,31 @@
 		out.Routes = append(out.Routes, route)
 	}
 	for _, s := range m.GetServices() {
-		out.Services = append(out.Services, Service{Name: s.GetName(), HealthPath: s.GetHealth(), MaxConnections: int(s.GetConnections())})
+		out.Services = append(out.Services, serviceFromProto(s))
 	}
 	return out, true
 }
 
+func serviceToProto(s *Service) *hsschema.Pool {
+	return &hsschema.Pool{
+		Name:        s.Name,
+		Health:      s.HealthPath,
+		Connections: uint32(s.MaxConnections),
+		Cold:        toMilliseconds(s.WarmUpTime),
+		Rate:        uint32(math.Ceil(s.WarmUpRate * rateUnits)),
+	}
+}
+
+func serviceFromProto(p *hsschema.Pool) Service {
+	return Service{
+		Name:           p.GetName(),
+		HealthPath:     p.GetHealth(),
+		MaxConnections: int(p.GetConnections()),
+		WarmUpTime:     fromMilliseconds(p.GetCold()),
+		WarmUpRate:     float64(p.GetRate()) / rateUnits,
+	}
+}
+
 func routeToProto(r *Route) *hsschema.Route {
 	out := &hsschema.Route{
 		Address:    r.Address.String(),
--- a/internal/hsfeed/types.go
+++ b/internal/hsfeed/types.go
@@ -87,6 +87,12 @@
 		HealthPath string
 		// Maximum number of open connections per target.
 		MaxConnections int
+		// Time for which a target is slow after an evacuation of its zone; 0 if
+		// unknown.
+		WarmUpTime time.Duration
+		// New flows a second that a target takes during its warm-up time, from
+		// all hosts together; 0 if not limited.
+		WarmUpRate float64
 	}
 
 	// Configuration defines which services new flows are sent to. It is
--- a/internal/hsplace/place.go
+++ b/internal/hsplace/place.go
@@ -34,6 +34,8 @@
 		UnlistedGracePeriod time.Duration
 		// Seed of the random choice among targets of equal cost.
 		Seed uint64
+		// See hsdirect.Settings.
+		LearnCapacity bool
 	}
 
 	// Load is the load of one target by the flows of one host.
@@ -68,11 +70,14 @@
 		targets map[hsfeed.TargetID]*target
 		// Targets that may receive new flows, by service and sorted by ID.
 		pools   map[string][]*target
+		// Services of the current configuration, by name.
+		services map[string]hsfeed.Service
 		reports map[string]report
 		// By name. Zones are never removed, since there are few.
 		zones map[string]*zone
-		// Buffer of candidates.
+		// Buffers of candidates.
 		eligible []*target
+		ejected  []*target
 	}
 
 	target struct {
@@ -136,6 +141,15 @@
 	}
 }
 
+// SetServices replaces the services of the configuration.
+func (p *Placer) SetServices(list []hsfeed.Service) {
+	services := make(map[string]hsfeed.Service, len(list))
+	for _, s := range list {
+		services[s.Name] = s
+	}
+	p.services = services
+}
+
 // SetTargets replaces the list of targets. The load and health of targets that
 // were listed before are kept, unless the target has restarted. A target that
 // is no longer listed but was not draining receives new flows for a grace
@@ -297,6 +311,9 @@
 		return Choice{}, hscode.FlowNoTarget
 	}
 	candidates, ejected := p.candidates(now, pool)
+	if len(candidates) == 0 {
+		return Choice{PoolSize: len(pool)}, p.codeOfExcluded(now, pool)
+	}
 	best := p.lowest(candidates, func(t *target) float64 { return t.cost(now) })
 	if best.totalUtilization(now) > maxUtilization {
 		best = p.lowest(candidates, func(t *target) float64 { return t.totalUtilization(now) })
@@ -316,21 +333,34 @@
 	return ch, hscode.OK
 }
 
-// candidates returns the targets of a pool that are not ejected, and the number
-// of ejected ones. If all are ejected, it returns all: the cause may then be in
-// this host. The result is valid until the next call.
+// codeOfExcluded returns the result code for a new flow if all targets of a pool
+// are excluded by reasons other than ejections.
+func (p *Placer) codeOfExcluded(now time.Time, pool []*target) hscode.Code {
+	for _, t := range pool {
+		if p.exclusion(now, t) == WarmUpLimit {
+			return hscode.FlowOverload
+		}
+	}
+	return hscode.FlowEvacuated
+}
+
+// candidates returns the targets of a pool that are not excluded, and the number
+// of ejected ones. If ejections leave no target, it returns the ejected ones: the
+// cause may then be in this host. The result is valid until the next call.
 func (p *Placer) candidates(now time.Time, pool []*target) ([]*target, int) {
-	p.eligible = p.eligible[:0]
+	p.eligible, p.ejected = p.eligible[:0], p.ejected[:0]
 	for _, t := range pool {
-		if t.eligible(now) {
+		switch e := p.exclusion(now, t); {
+		case e == NotExcluded:
 			p.eligible = append(p.eligible, t)
+		case e.isEjection():
+			p.ejected = append(p.ejected, t)
 		}
 	}
-	ejected := len(pool) - len(p.eligible)
 	if len(p.eligible) == 0 {
-		return pool, ejected
+		return p.ejected, len(p.ejected)
 	}
-	return p.eligible, ejected
+	return p.eligible, len(p.ejected)
 }
 
 // lowest returns the target with the lowest value, chosen at random among
@@ -354,13 +384,6 @@
 	return best
 }
 
-// eligible reports whether the target may receive a new flow: neither the
-// target nor its zone is ejected by this host, and the target is not ejected by
-// another host.
-func (t *target) eligible(now time.Time) bool {
-	return t.acceptsFlow(now) && t.zone.acceptsFlow(now) && !now.Before(t.peerEjectedUntil)
-}
-
 // cost returns the utilization that the target would have with one more
 // request, plus a penalty if it is in another zone. Requests reported by other
 // hosts have a low weight: most of them have ended by the time that the report
