--- a/internal/hsplace/place.go
+++ b/internal/hsplace/place.go
@@ -69,10 +69,10 @@
 		rng     *rand.Rand
 		targets map[hsfeed.TargetID]*target
 		// Targets that may receive new flows, by service and sorted by ID.
-		pools   map[string][]*target
+		pools map[string][]*target
 		// Services of the current configuration, by name.
 		services map[string]hsfeed.Service
-		reports map[string]report
+		reports  map[string]report
 		// By name. Zones are never removed, since there are few.
 		zones map[string]*zone
 		// Buffers of candidates.
