hsfeed, platform: requests for the evacuation of a zone are replicated

Cause: operators cannot empty a zone; its targets receive new flows until each of them drains. Ruled out: ordering requests by the store's revisions alone, since a restored store uses them again and would bring back a request that was taken back; an additional number on the wire: a later request with a reused revision raises the known one instead. Adopting a position by its digest while a zone is evacuated is not possible, since the digest does not show the era in which the zone was named. Change: the key op/evacuate/ZONE is decoded to an event; hsfeed keeps the requests in force and up to 256 ended ones. Measured: go test ./internal/hsfeed ./platform . passes.

--- a/internal/hsfeed/proto.go
+++ b/internal/hsfeed/proto.go
@@ -45,6 +45,10 @@
 		out.Change = &hsschema.Event_Configuration{Configuration: configurationToProto(ev.Configuration)}
 	case ev.Target != nil:
 		out.Change = &hsschema.Event_Target{Target: targetToProto(ev.Target)}
+	case ev.Evacuation != nil:
+		out.Change = &hsschema.Event_Evacuation{Evacuation: &hsschema.Evacuation{
+			Zone: ev.Evacuation.Zone, Ended: ev.Evacuation.Ended, Requested: ev.Evacuation.Requested,
+		}}
 	default:
 		out.Change = &hsschema.Event_Gone{Gone: uint64(ev.Removed)}
 		out.Born, out.Draining = ev.RemovedStamp.StartUnixMilli, ev.RemovedStamp.Draining
@@ -60,6 +64,10 @@
 		out.Configuration, ok = configurationFromProto(c.Configuration)
 	case *hsschema.Event_Target:
 		out.Target, ok = targetFromProto(c.Target)
+	case *hsschema.Event_Evacuation:
+		m := c.Evacuation
+		out.Evacuation = &Evacuation{Zone: m.GetZone(), Ended: m.GetEnded(), Requested: m.GetRequested()}
+		ok = m.GetZone() != ""
 	case *hsschema.Event_Gone:
 		out.Removed = TargetID(c.Gone)
 		out.RemovedStamp = Stamp{StartUnixMilli: e.GetBorn(), Draining: e.GetDraining()}
--- a/internal/hsfeed/replica.go
+++ b/internal/hsfeed/replica.go
@@ -23,6 +23,7 @@
 		// where the store has an older one.
 		configuration *Configuration
 		targets       targetSet
+		evacuations   evacuationSet
 		// Events after revision logStart of the current era, in ascending order of
 		// revisions. At most maxLog events, at most one of which is a
 		// configuration.
@@ -36,6 +37,8 @@
 		Configuration bool
 		// True if the listed targets changed.
 		Targets bool
+		// True if the zones that are being evacuated changed.
+		Evacuations bool
 		// Number of events that changed the state.
 		EventCount int
 	}
@@ -64,9 +67,17 @@
 // Targets returns the listed targets in the order of their IDs.
 func (r *Replica) Targets() []TargetRecord { return r.targets.sorted() }
 
+// Evacuations returns the requests for evacuations that are in force, in the order
+// of their zones.
+func (r *Replica) Evacuations() []EvacuationRecord { return r.evacuations.active() }
+
 // Digest returns a digest of the current content: the version of the
-// configuration and the listed targets. It is 0 for an empty state.
-func (r *Replica) Digest() uint64 { return r.targets.digest ^ r.configuration.digest() }
+// configuration, the listed targets and the zones that are being evacuated. It is
+// 0 for an empty state. Without evacuations it is the digest that hosts of the
+// previous version compute.
+func (r *Replica) Digest() uint64 {
+	return r.targets.digest ^ r.configuration.digest() ^ r.evacuations.digest
+}
 
 // Position returns the position of the state after the update.
 func (u *Update) Position() Position { return Position{Era: u.Era, Revision: u.Revision} }
@@ -94,6 +105,7 @@
 		return ch, hscode.OK
 	case order == 0:
 		r.targets.merge(now, p.Era, u.Events, &ch)
+		r.evacuations.merge(now, p.Era, u.Events, &ch)
 		return ch, hscode.OK
 	case u.Since == 0:
 		r.replaceState(now, p, u.Events, &ch)
@@ -104,6 +116,7 @@
 	for i := range u.Events {
 		if u.Events[i].Revision > r.position.Revision {
 			r.targets.apply(now, p.Era, &u.Events[i], &ch)
+			r.evacuations.apply(now, p.Era, &u.Events[i], true, &ch)
 			r.appendToLog(u.Events[i])
 		}
 	}
@@ -117,10 +130,11 @@
 // Adopt advances the replica to the position of a host whose state has the given
 // digest, if the state here has the same, so that it does not have to be fetched.
 // It reports whether it did. While entries are held, changes within the era may
-// concern them without changing the digest.
+// concern them without changing the digest. While zones are evacuated, the digest
+// does not show in which era and at which revision the requests were written.
 func (r *Replica) Adopt(now time.Time, p Position, digest uint64) bool {
 	sameEra := p.Era == r.position.Era
-	if digest == 0 || digest != r.Digest() || !p.After(r.position) || (sameEra && len(r.targets.held) > 0) {
+	if digest == 0 || digest != r.Digest() || !p.After(r.position) || (sameEra && len(r.targets.held) > 0) || r.evacuations.digest != 0 {
 		return false
 	}
 	r.enterEra(now, p.Era)
@@ -166,6 +180,7 @@
 		u.Events = append(u.Events, Event{Revision: r.position.Revision, Configuration: r.configuration})
 	}
 	u.Events = r.targets.appendEvents(u.Events, r.position.Era)
+	u.Events = r.evacuations.appendEvents(u.Events)
 	return u
 }
 
@@ -174,6 +189,7 @@
 func (r *Replica) replaceState(now time.Time, p Position, events []Event, ch *Change) {
 	r.enterEra(now, p.Era)
 	r.targets.replace(now, p, events, ch)
+	r.evacuations.replace(now, p, events, ch)
 	r.moveTo(p)
 }
 
--- a/internal/hsfeed/targets.go
+++ b/internal/hsfeed/targets.go
@@ -145,7 +145,7 @@
 func (s *targetSet) apply(now time.Time, era uint64, ev *Event, ch *Change) {
 	p := Position{Era: cmp.Or(ev.Era, era), Revision: ev.Revision}
 	switch {
-	case ev.Configuration != nil:
+	case ev.Configuration != nil, ev.Evacuation != nil:
 	case ev.Target != nil:
 		s.applyEntry(now, era, TargetRecord{Target: *ev.Target, Position: p, WarmUpUntil: now.Add(ev.Target.WarmUp)}, ch)
 	default:
--- a/internal/hsfeed/types.go
+++ b/internal/hsfeed/types.go
@@ -6,7 +6,8 @@
 // A store that is restored from a copy loses changes and uses their revisions
 // again, in a new era. Numbers of the store therefore order changes within one
 // era only. What lasts beyond an era is ordered by its writer's own numbers: a
-// configuration by its version, the entries of a target by their Stamp.
+// configuration by its version, the entries of a target by their Stamp. Requests
+// for evacuations have no such number; see evacuationSet.
 package hsfeed
 
 import (
@@ -118,6 +119,8 @@
 		Removed TargetID
 		// Stamp of the entry that was removed; zero if unknown.
 		RemovedStamp Stamp
+		// A request for an evacuation, or its end.
+		Evacuation *Evacuation
 	}
 
 	// Update holds the changes between two revisions, or the whole state.
--- a/style_test.go
+++ b/style_test.go
@@ -19,7 +19,7 @@
 var platformNames = []string{
 	"HEATHERSTACK_CONFIG", "datagramAddr", "readyAddr", "listenAddrs", "internalPorts",
 	"kv-range", "kv-watch", "kv-key", "storeRevision", "staleRead", "tombstone",
-	"op/config", "servers/", "coldRemainingMs", "targetLatencyMs", "idleTimeoutMs",
+	"op/config", "op/evacuate", "servers/", "coldRemainingMs", "targetLatencyMs", "idleTimeoutMs",
 	"maxConnections", "healthPath", "timeoutMs", "non_idempotent", "/-/",
 }
 
