hsplace, hscookie: no new flows in zones that are being evacuated

Cause: a request for an evacuation has to keep opening packets away from the zone and leave open flows alone. Ruled out: forwarding a retransmitted opening packet of an answered flow (it would arrive in the zone) and placing it again (two targets would answer); it is dropped.

--- a/internal/hscookie/core.go
+++ b/internal/hscookie/core.go
@@ -166,6 +166,10 @@
 	c.placer.SetTargets(now, list)
 }
 
+// SetEvacuations replaces the zones that are being evacuated. Their targets
+// receive no new flows; packets of open flows are forwarded as before.
+func (c *Core) SetEvacuations(now time.Time, zones []string) { c.placer.SetEvacuations(now, zones) }
+
 // ApplyReport applies another host's report of its loads, which replaces the
 // host's earlier report.
 func (c *Core) ApplyReport(now time.Time, host string, loads []hsplace.Load) {
@@ -259,13 +263,22 @@
 		return Verdict{Action: Refuse, Code: hscode.FlowNoService}
 	}
 	if f := c.flows.Get(key, hash); f != nil && f.isRetransmission(p) {
-		if d := c.targets.byID[f.target]; d != nil && r.hasService(d.service) {
+		d := c.targets.byID[f.target]
+		switch {
+		case d == nil || !r.hasService(d.service):
+		case !c.placer.IsEvacuated(d.zone):
 			c.Stats.Retransmits++
 			f.lastSeen = c.uptime(now)
 			if f.unanswered {
 				c.startRequest(f, f.lastSeen)
 			}
 			return Verdict{Action: Forward, To: d.address, Target: d.id, Cookie: d.cookie}
+		case f.opened && !f.unanswered:
+			// The caller has had its answer: the packet was delayed on its way. It
+			// must neither arrive in the zone nor open the flow at a second target.
+			return Verdict{Code: hscode.FlowEvacuated}
+		default:
+			c.removeFlow(key, hash, f)
 		}
 	}
 	if len(c.targets.byID) == 0 {
--- a/internal/hscookie/routes.go
+++ b/internal/hscookie/routes.go
@@ -35,6 +35,7 @@
 	destination struct {
 		id      hsfeed.TargetID
 		service string
+		zone    string
 		address netip.AddrPort
 		cookie  Cookie
 		// Zero while the target is listed, else the time until which packets of
@@ -77,6 +78,7 @@
 		byID[record.ID] = &destination{
 			id:      record.ID,
 			service: record.Service,
+			zone:    record.Zone,
 			address: record.Address,
 			cookie:  NewCookie(record.Service, record.ID),
 		}
--- /dev/null
+++ b/internal/hsplace/evacuation.go
@@ -0,0 +1,36 @@
+package hsplace
+
+import "time"
+
+// SetEvacuations replaces the zones whose targets receive no new flows because
+// the operator evacuates them. Names without targets have no effect until there
+// are some. The targets of a zone whose evacuation has ended had no requests for
+// some time and count as warming up: for the warm-up time of their service, or of
+// their entry if that is longer.
+func (p *Placer) SetEvacuations(now time.Time, zones []string) {
+	evacuated := make(map[string]bool, len(zones))
+	for _, name := range zones {
+		evacuated[name] = true
+	}
+	for _, t := range p.targets {
+		if t.zone.evacuated && !evacuated[t.record.Zone] {
+			t.warmUpAfterEvacuation = now.Add(max(p.services[t.record.Service].WarmUpTime, t.record.WarmUp))
+			t.extendWarmUp()
+		}
+	}
+	for name, z := range p.zones {
+		z.evacuated = evacuated[name]
+	}
+	p.evacuated = evacuated
+}
+
+// IsEvacuated reports whether a zone is being evacuated.
+func (p *Placer) IsEvacuated(zone string) bool { return p.evacuated[zone] }
+
+// extendWarmUp extends the warm-up time that the target's entry gives to that
+// after the evacuation of its zone.
+func (t *target) extendWarmUp() {
+	if t.warmUpAfterEvacuation.After(t.record.WarmUpUntil) {
+		t.record.WarmUpUntil = t.warmUpAfterEvacuation
+	}
+}
--- a/internal/hsplace/health.go
+++ b/internal/hsplace/health.go
@@ -30,7 +30,8 @@
 		Duration time.Duration
 	}
 
-	// zone is the observed health of an availability zone. If opening packets
+	// zone is the state of an availability zone: its observed health, and whether
+	// the operator evacuates it. If opening packets
 	// to several targets of another zone are not answered, the zone counts as
 	// unreachable.
 	zone struct {
@@ -38,6 +39,7 @@
 		// Target of the last unanswered opening packet. A further unanswered
 		// packet to the same target is no evidence about the zone.
 		lastUnanswered hsfeed.TargetID
+		evacuated      bool
 	}
 )
 
@@ -59,7 +61,7 @@
 	if t := p.targets[id]; t != nil {
 		t.health = health{}
 		t.peerEjectedUntil = time.Time{}
-		*t.zone = zone{}
+		*t.zone = zone{evacuated: t.zone.evacuated}
 	}
 }
 
--- a/internal/hsplace/place.go
+++ b/internal/hsplace/place.go
@@ -75,6 +75,8 @@
 		reports  map[string]report
 		// By name. Zones are never removed, since there are few.
 		zones map[string]*zone
+		// Names of the zones that are being evacuated.
+		evacuated map[string]bool
 		// Buffers of candidates.
 		eligible []*target
 		ejected  []*target
@@ -95,6 +97,9 @@
 		// Time until which the target receives no new flows because another
 		// host of this zone has ejected it.
 		peerEjectedUntil time.Time
+		// End of the warm-up time after the last evacuation of the zone; zero if
+		// there was none since the target was listed.
+		warmUpAfterEvacuation time.Time
 		health
 	}
 
@@ -165,6 +170,7 @@
 		t.record = record
 		t.sameZone = record.Zone == p.cfg.Zone
 		t.zone = p.zone(record.Zone)
+		t.extendWarmUp()
 		t.graceUntil = time.Time{}
 		targets[record.ID] = t
 	}
@@ -211,7 +217,7 @@
 func (p *Placer) zone(name string) *zone {
 	z := p.zones[name]
 	if z == nil {
-		z = &zone{}
+		z = &zone{evacuated: p.evacuated[name]}
 		p.zones[name] = z
 	}
 	return z
