hsdirect, hsctl: evacuations reach the data task, the log, the metrics, GET /status and hsctl zones

Cause: an operator has to see whether a request is in force on all hosts and what still runs in the zone. Change: Output.Evacuations, log lines at start and end, a warning if the store of a new era lacks a request, metrics zone_evacuated and zone_evacuations, the status page on both HTTP servers, and the command zones.

--- a/cmd/hsctl/main.go
+++ b/cmd/hsctl/main.go
@@ -1,5 +1,5 @@
-// Command hsctl checks manifests and merges the logs of entry hosts for
-// operators.
+// Command hsctl checks manifests, merges the logs of entry hosts and shows the
+// state of zones for operators.
 package main
 
 import (
--- a/internal/hsctl/main.go
+++ b/internal/hsctl/main.go
@@ -1,5 +1,6 @@
-// Package hsctl implements the operators' command line. It only reads files and
-// standard input; no command changes anything.
+// Package hsctl implements the operators' command line. It only reads files,
+// standard input and the status pages of entry hosts; no command changes
+// anything.
 package hsctl
 
 import (
@@ -12,8 +13,8 @@
 // Exit codes of hsctl.
 const (
 	exitOK = 0
-	// exitErrors means that the manifest has errors or that no log line
-	// matched.
+	// exitErrors means that the manifest has errors, that no log line matched,
+	// or that a host was unreachable.
 	exitErrors = 1
 	// exitUsage means invalid arguments or an input that cannot be read.
 	exitUsage = 2
@@ -21,12 +22,13 @@
 
 // Main runs the command hsctl and returns its exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
-	app := kingpin.New("hsctl", "Checks manifests and merges the logs of entry hosts.")
+	app := kingpin.New("hsctl", "Checks manifests, merges the logs of entry hosts and shows the state of zones.")
 	app.UsageWriter(stderr).ErrorWriter(stderr)
 	check := app.Command("check", "Check a manifest and list all faults.")
 	file := check.Arg("file", "Manifest; - reads standard input.").Required().String()
 	asJSON := check.Flag("json", "Write one JSON object per fault.").Bool()
 	trace, flags := traceCommand(app)
+	zones, zonesFlags := zonesCommand(app)
 	command, err := app.Parse(args)
 	if err != nil {
 		_, _ = fmt.Fprintln(stderr, "hsctl:", err)
@@ -37,11 +39,21 @@
 		return runCheck(*file, *asJSON, stdout, stderr)
 	case trace.FullCommand():
 		return runTrace(flags, stdout, stderr)
+	case zones.FullCommand():
+		return runZones(zonesFlags, stdout, stderr)
 	default:
 		return exitUsage
 	}
 }
 
+func zonesCommand(app *kingpin.Application) (*kingpin.CmdClause, *zonesFlags) {
+	f := &zonesFlags{}
+	c := app.Command("zones", "Show which zones are being evacuated, and what still runs in each zone.")
+	c.Arg("hosts", "Addresses of hosts, HOST:PORT, that serve their metrics.").Required().StringsVar(&f.hosts)
+	c.Flag("json", "Write one JSON object.").BoolVar(&f.asJSON)
+	return c, f
+}
+
 func traceCommand(app *kingpin.Application) (*kingpin.CmdClause, *traceFlags) {
 	f := &traceFlags{}
 	c := app.Command("trace", "Merge the log lines of several hosts in the order of time.")
--- a/internal/hsdirect/control.go
+++ b/internal/hsdirect/control.go
@@ -45,9 +45,12 @@
 		ConfigurationVersion uint64
 		// Position of the store in its last response to this host.
 		Store hsfeed.Position
-		// Time since a configuration or target list was last applied.
+		// Time since a configuration, target list or evacuation was last applied.
 		StateAge time.Duration
 		Targets  int
+		// Evacuations in force, and number of those that started since the start.
+		Evacuations     []hsfeed.EvacuationRecord
+		EvacuationCount uint64
 		// Peers that are considered alive.
 		AlivePeers  int
 		StoreReader bool
@@ -62,10 +65,16 @@
 		e      *EntryHost
 		core   *Core
 		counts map[hscode.Code]uint64
-		// When a configuration or target list was last applied.
+		// When a configuration, target list or evacuation was last applied.
 		lastUpdate time.Time
 		// Position of the store in its last response to this host.
 		answered hsfeed.Position
+		// Evacuations in force by zone, and number of those that started since the
+		// start.
+		evacuations     map[string]hsfeed.EvacuationRecord
+		evacuationCount uint64
+		// Era for which the evacuations were last compared with the store.
+		comparedEra uint64
 	}
 )
 
@@ -182,10 +191,13 @@
 		StateAge:      now.Sub(c.lastUpdate),
 		Targets:       len(state.Targets()),
 		Store:         c.answered,
+		Evacuations:   state.Evacuations(),
 		StoreReader:   c.core.IsReader(),
 		StoreCalls:    c.e.storeCalls.Load(),
 		StoreFailures: c.e.storeFailures.Load(),
 		CodeCounts:    maps.Clone(c.counts),
+
+		EvacuationCount: c.evacuationCount,
 	}
 	if cfg := state.Configuration(); cfg != nil {
 		st.ConfigurationVersion = cfg.Version
@@ -208,15 +220,18 @@
 
 // applyOutput performs the actions that the core returned.
 func (c *controller) applyOutput(ctx context.Context, out Output) {
-	if out.Configuration != nil || out.TargetsChanged || out.Report != nil {
+	if out.Configuration != nil || out.TargetsChanged || out.EvacuationsChanged || out.Report != nil {
 		c.e.notifyData(ctx, dataMessage{
 			configuration: out.Configuration,
 			targets:       out.Targets,
 			targetsSet:    out.TargetsChanged,
+			evacuated:     zoneNames(out.Evacuations),
+			evacuatedSet:  out.EvacuationsChanged,
 			report:        out.Report,
 		})
 	}
 	c.logChanges(&out)
+	c.logEvacuations(time.Now(), &out)
 	c.sendHeartbeats(out.Heartbeats)
 	for _, f := range out.Fetches {
 		select {
@@ -233,10 +248,10 @@
 	}
 }
 
-// logChanges logs the changes in out and records when a configuration or target
-// list was last applied.
+// logChanges logs the changes in out, without those of evacuations, and records
+// when a change of the published state was last applied.
 func (c *controller) logChanges(out *Output) {
-	if out.Configuration != nil || out.TargetsChanged {
+	if out.Configuration != nil || out.TargetsChanged || out.EvacuationsChanged {
 		c.lastUpdate = time.Now()
 	}
 	revision := c.core.State().Revision()
--- a/internal/hsdirect/core.go
+++ b/internal/hsdirect/core.go
@@ -50,6 +50,9 @@
 		// New target list; valid if TargetsChanged.
 		Targets        []hsfeed.TargetRecord
 		TargetsChanged bool
+		// Evacuations in force; valid if EvacuationsChanged.
+		Evacuations        []hsfeed.EvacuationRecord
+		EvacuationsChanged bool
 		// True if the result of Core.IsReader changed.
 		ReaderChanged bool
 		// True if the reader task has to list the store again because the connection
@@ -315,6 +318,10 @@
 		c.out.Targets = c.state.Targets()
 		c.out.TargetsChanged = true
 	}
+	if ch.Evacuations {
+		c.out.Evacuations = c.state.Evacuations()
+		c.out.EvacuationsChanged = true
+	}
 	if ch != (hsfeed.Change{}) {
 		clear(c.merged)
 	}
--- a/internal/hsdirect/data.go
+++ b/internal/hsdirect/data.go
@@ -26,8 +26,12 @@
 		configuration *hsfeed.Configuration
 		targets       []hsfeed.TargetRecord
 		targetsSet    bool
-		report        *PeerReport
-		statusReply   chan<- DataStatus
+		// Zones that are being evacuated; valid if evacuatedSet.
+		evacuated    []string
+		evacuatedSet bool
+		report       *PeerReport
+		statusReply  chan<- DataStatus
+		zonesReply   chan<- []hscookie.ZoneLoad
 	}
 
 	// DataStatus is the data task's part of the metrics.
@@ -198,6 +202,10 @@
 	if m.targetsSet {
 		d.core.SetTargets(now, m.targets)
 	}
+	if m.evacuatedSet {
+		d.core.SetEvacuations(now, m.evacuated)
+		d.processReleased(now)
+	}
 	if m.report != nil {
 		d.core.ApplyReport(now, m.report.Host, m.report.Loads)
 		d.core.ApplyEjections(now, m.report.Ejected, m.report.EjectionDuration)
@@ -205,6 +213,9 @@
 	if m.statusReply != nil {
 		m.statusReply <- d.status()
 	}
+	if m.zonesReply != nil {
+		m.zonesReply <- d.core.ZoneLoads()
+	}
 	if !d.e.ready.Load() && d.core.Ready() {
 		d.e.ready.Store(true)
 		d.e.log(log.InfoLevel, hscode.OK).Dur("after", now.Sub(d.e.started)).Msg("ready")
--- a/internal/hsdirect/entry.go
+++ b/internal/hsdirect/entry.go
@@ -221,6 +221,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+e.cfg.ReadyPath, e.serveReady)
 	mux.HandleFunc("GET "+metricsPath, e.serveMetrics)
+	mux.HandleFunc("GET "+statusPath, e.serveStatus)
 	return hshttp.Serve(ctx, e.sockets.ready, mux)
 }
 
--- a/internal/hsdirect/metrics.go
+++ b/internal/hsdirect/metrics.go
@@ -66,6 +66,8 @@
 		uintMetric("state_version", c.ConfigurationVersion),
 		uintMetric("state_age_ms", uint64(c.StateAge.Milliseconds())),
 		uintMetric("target_listed", uint64(c.Targets)),
+		uintMetric("zone_evacuated", uint64(len(c.Evacuations))),
+		uintMetric("zone_evacuations", c.EvacuationCount),
 		uintMetric("peer_alive", uint64(c.AlivePeers)),
 	}
 	out = append(out, percentiles("answer_us", d.AnswerTimes)...)
--- a/internal/hsdirect/peer.go
+++ b/internal/hsdirect/peer.go
@@ -93,6 +93,7 @@
 func (e *EntryHost) runPeerServer(ctx context.Context) error {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+metricsPath, e.serveMetrics)
+	mux.HandleFunc("GET "+statusPath, e.serveStatus)
 	mux.Handle(hsschemaconnect.NewFeedHandler(&feedServer{e: e}))
 	return hshttp.Serve(ctx, e.sockets.rpc, mux)
 }
--- a/internal/hsdirect/settings.go
+++ b/internal/hsdirect/settings.go
@@ -26,7 +26,7 @@
 		// Maximum lifetime of a flow; 0 means defaultFlowLifetime.
 		MaxFlowLifetime time.Duration
 		// Time within which a published configuration has to be applied; 0 means
-		// defaultApplyDeadline.
+		// defaultApplyDeadline, and a shorter EvacuationDeadline applies instead.
 		ApplyDeadline time.Duration
 		// Time for which a target keeps serving after it announced that it drains or
 		// is no longer listed; 0 means defaultDrainTime.
@@ -77,6 +77,7 @@
 func (s Settings) withDefaults() Settings {
 	s.MaxFlowLifetime = orDefault(s.MaxFlowLifetime, defaultFlowLifetime)
 	s.ApplyDeadline = orDefault(s.ApplyDeadline, defaultApplyDeadline)
+	s.ApplyDeadline = min(s.ApplyDeadline, orDefault(s.EvacuationDeadline, s.ApplyDeadline))
 	s.DrainTime = orDefault(s.DrainTime, defaultDrainTime)
 	return s
 }
