--- a/internal/hsdirect/explore_test.go
+++ b/internal/hsdirect/explore_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -40,7 +41,8 @@
 		changeTicks  int
 		disturbTicks int
 		// First violation found; empty if none.
-		violation string
+		violation   string
+		evacuations evacuationOperator
 	}
 
 	// message is a message on its way to a host, or a call of a peer.
@@ -69,6 +71,10 @@
 		// Targets that the host has listed as draining, or removed after it listed
 		// them, by their start: these must not become ready again.
 		ended map[hsfeed.TargetID]hsfeed.Stamp
+		// Zones that the host evacuates, and those whose evacuation it has ended since
+		// the operator last took the request back.
+		evacuated []string
+		ceased    map[string]bool
 	}
 
 	// modelStore is the metadata store with the operator and the targets that
@@ -81,8 +87,12 @@
 		// Time at which config was written.
 		configSince time.Time
 		entries     map[hsfeed.TargetID]hsfeed.Event
-		history     []hsfeed.Event
-		copies      []storeCopy
+		// Keys of requests for evacuations, by zone.
+		requests map[string]hsfeed.Event
+		history  []hsfeed.Event
+		// Revision up to which the history has been compacted.
+		compacted uint64
+		copies    []storeCopy
 		// Writes that follow later, by their time.
 		pending []pendingWrite
 		// Truth: the newest configuration and its time, and the targets.
@@ -98,6 +108,7 @@
 		revision uint64
 		config   hsfeed.Event
 		entries  map[hsfeed.TargetID]hsfeed.Event
+		requests map[string]hsfeed.Event
 		history  int
 	}
 
@@ -135,7 +146,7 @@
 func newModelStore(rng *rand.Rand) *modelStore {
 	return &modelStore{
 		rng: rng, up: true, position: hsfeed.Position{Era: 1, Revision: 1},
-		entries: map[hsfeed.TargetID]hsfeed.Event{}, targets: map[hsfeed.TargetID]*modelTarget{},
+		entries: map[hsfeed.TargetID]hsfeed.Event{}, targets: map[hsfeed.TargetID]*modelTarget{}, requests: map[string]hsfeed.Event{},
 		operatorTime: []time.Duration{rewriteTime, 5 * rewriteTime}[rng.IntN(2)],
 	}
 }
@@ -149,6 +160,11 @@
 		s.config, s.configSince = ev, now
 	case ev.Target != nil:
 		s.entries[ev.Target.ID] = ev
+	case ev.Evacuation != nil && ev.Evacuation.Ended:
+		delete(s.requests, ev.Evacuation.Zone)
+	case ev.Evacuation != nil:
+		ev.Evacuation.Requested = ev.Revision
+		s.requests[ev.Evacuation.Zone] = ev
 	default:
 		delete(s.entries, ev.Removed)
 	}
@@ -161,7 +177,7 @@
 	for id, ev := range s.entries {
 		entries[id] = ev
 	}
-	s.copies = append(s.copies, storeCopy{at: now, revision: s.position.Revision, config: s.config, entries: entries, history: len(s.history)})
+	s.copies = append(s.copies, storeCopy{at: now, revision: s.position.Revision, config: s.config, entries: entries, requests: maps.Clone(s.requests), history: len(s.history)})
 }
 
 func (s *modelStore) publish(now time.Time) {
@@ -243,6 +259,7 @@
 	s.copies = s.copies[:i+1]
 	s.position = hsfeed.Position{Era: s.position.Era + 1 + s.rng.Uint64N(2), Revision: c.revision}
 	s.config, s.history = c.config, slices.Clone(s.history[:c.history])
+	s.requests, s.compacted = maps.Clone(c.requests), min(s.compacted, c.revision)
 	s.entries = map[hsfeed.TargetID]hsfeed.Event{}
 	for id, ev := range c.entries {
 		s.entries[id] = ev
@@ -285,12 +302,15 @@
 	for _, ev := range s.entries {
 		u.Events = append(u.Events, ev)
 	}
+	for _, zone := range slices.Sorted(maps.Keys(s.requests)) {
+		u.Events = append(u.Events, s.requests[zone])
+	}
 	return u
 }
 
 // watch returns the changes after a position, or false if it does not have them.
 func (s *modelStore) watch(after hsfeed.Position) (hsfeed.Update, bool) {
-	if after.Era != s.position.Era || after.Revision > s.position.Revision {
+	if after.Era != s.position.Era || after.Revision > s.position.Revision || after.Revision < s.compacted {
 		return hsfeed.Update{}, false
 	}
 	u := hsfeed.Update{Era: s.position.Era, Since: after.Revision, Revision: s.position.Revision}
@@ -305,6 +325,7 @@
 func newExploration(seed uint64) *exploration {
 	rng := rand.New(rand.NewPCG(seed, 1))
 	x := &exploration{rng: rng, now: epoch, store: newModelStore(rng), changeTicks: []int{6, 30, 90}[rng.IntN(3)], disturbTicks: []int{12, 50}[rng.IntN(2)]}
+	x.evacuations = newEvacuationOperator(seed)
 	zones := 1 + rng.IntN(3)
 	for range 4 {
 		x.store.start(x.now)
@@ -322,7 +343,7 @@
 
 func (x *exploration) start(h *exploredHost) {
 	seeds := []netip.Addr{x.hosts[0].addr, x.hosts[1].addr, x.hosts[2].addr}
-	*h = exploredHost{addr: h.addr, zone: h.zone, running: true, started: x.now, ended: map[hsfeed.TargetID]hsfeed.Stamp{}}
+	*h = exploredHost{addr: h.addr, zone: h.zone, running: true, started: x.now, ended: map[hsfeed.TargetID]hsfeed.Stamp{}, ceased: map[string]bool{}}
 	h.core = NewCore(CoreConfig{Self: h.addr, Zone: h.zone, Boot: uint64(x.now.UnixMicro()), Seeds: seeds})
 	x.apply(h, h.core.Start(x.now))
 }
@@ -400,6 +421,7 @@
 		}
 		h.version, h.versionSince = c.Version, x.now
 	}
+	x.checkEvacuations(h, out)
 	if !out.TargetsChanged {
 		return
 	}
@@ -425,6 +447,7 @@
 	if !x.undisturbed(h) {
 		return
 	}
+	x.checkEvacuationLimits(h)
 	s := x.store
 	if c := s.config.Configuration; c != nil && x.now.Sub(s.configSince) > applyTime && h.version < c.Version {
 		x.fail("%s is at version %d, %d was published %v ago", h.addr, h.version, c.Version, x.now.Sub(s.configSince))
@@ -527,6 +550,7 @@
 		if x.store.up && x.rng.IntN(x.changeTicks) == 0 {
 			x.store.change(x.now)
 		}
+		x.changeEvacuations()
 		x.step()
 	}
 	x.cutZone, x.loss, x.store.up, x.disturbed = "", 0, true, x.now
@@ -538,6 +562,7 @@
 	}
 	lists := x.totalLists()
 	for end := x.now.Add(quietTime); x.now.Before(end) && x.violation == ""; {
+		x.nameZones(end)
 		x.step()
 	}
 	if n := x.totalLists() - lists; n > 2*len(x.hosts) {
--- a/internal/hsfeed/evacuation_test.go
+++ b/internal/hsfeed/evacuation_test.go
@@ -78,6 +78,13 @@
 		{"ended, and a watch of the new era has a request with a lower revision", []Update{
 			changeOf(1, evacuate(51, "a")), changeOf(1, endEvacuation(52, "a")), listOf(2, 40), changeOf(2, evacuate(41, "a")),
 		}, []string{"a"}},
+		{"ended in the new era, as a peer knows", []Update{
+			changeOf(1, evacuate(51, "a")), listOf(2, 45, endEvacuation(41, "a")),
+		}, []string{}},
+		{"requested in the new era, and a peer knows only the end of the earlier request", []Update{
+			changeOf(1, evacuate(51, "a")), changeOf(1, endEvacuation(52, "a")), listOf(2, 40), changeOf(2, evacuate(41, "a")),
+			listOf(2, 41, Event{Era: 1, Revision: 52, Evacuation: &Evacuation{Zone: "a", Ended: true, Requested: 51}}),
+		}, []string{"a"}},
 		{"answer of the earlier era after the restore", []Update{
 			changeOf(1, evacuate(51, "a")), changeOf(1, endEvacuation(52, "a")), listOf(2, 40), changeOf(1, evacuate(53, "a")),
 		}, []string{}},
