hscookie, hsdirect: reset flows whose target certainly no longer exists

Cause: a flow stays with its target for as long as the target is known, so that callers of a target that ended wait for their deadline. Ruled out as evidence: unanswered opening packets and ejections (slow targets, cut links), a lapsed entry alone (outage of the store, restored copy), start times alone (clocks of different targets), an entry that another writer touched later (only the first listing of a successor counts).

Change: hscookie/lost.go decides from entries, progress of flows and the store's status whether a target is gone: a later target listed at its address, or an entry missing for longer than the grace period with silent flows. The control task tells the data task since when and until when the store was available to the zone (hsdirect/storestatus.go). Active only with Settings.LearnCapacity.

--- a/internal/hscookie/core.go
+++ b/internal/hscookie/core.go
@@ -67,6 +67,10 @@
 		// Opening packets held while their service was full, without
 		// retransmissions of held ones.
 		Held uint64
+		// Flows that were reset because a later target is listed at their
+		// target's address, and because their target's entry is missing.
+		ReusedResets  uint64
+		MissingResets uint64
 	}
 
 	// Durations holds histograms of durations in microseconds.
@@ -103,10 +107,14 @@
 		avgServiceTime time.Duration
 		// Entry of the flow table at which the next sweep starts.
 		sweepCursor int
+		losses      losses
 		Stats       Stats
 		Durations   Durations
 		// Ejections since the code that uses the Core last cleared the list.
 		Ejections []hsplace.Ejection
+		// Targets found to be lost since the code that uses the Core last
+		// cleared the list.
+		LostTargets []LostTarget
 		// Number of packets by result code, without OK.
 		CodeCounts map[hscode.Code]uint64
 	}
@@ -163,6 +171,9 @@
 // SetTargets replaces the list of targets.
 func (c *Core) SetTargets(now time.Time, list []hsfeed.TargetRecord) {
 	c.targets.setTargets(now, list, c.cfg.MaxFlowLifetime)
+	if c.cfg.LearnCapacity {
+		c.losses.replaced = c.targets.findReplaced()
+	}
 	c.placer.SetTargets(now, list)
 }
 
@@ -236,6 +247,9 @@
 		return Verdict{Code: hscode.FlowUnknownCookie}
 	}
 	c.trackPacket(now, p, r, d, &key, hash)
+	if c.cfg.LearnCapacity && c.resetLost(now, p, d, &key, hash) {
+		return Verdict{Action: Refuse, Code: hscode.FlowTargetLost}
+	}
 	return Verdict{Action: Forward, To: d.address, Target: d.id, Cookie: p.Cookie}
 }
 
@@ -243,7 +257,7 @@
 // exists for it. Only a tracked flow is reset: for others, another host may
 // know a route that this host has not received yet.
 func (c *Core) decideUnrouted(p *Packet, key *hsflow.Key, hash uint64) Verdict {
-	f := c.flows.Get(key, hash)
+	f := c.tracked(key, hash)
 	if f == nil || p.HasAny(FlagReset) {
 		return Verdict{Code: hscode.FlowNoService}
 	}
@@ -258,8 +272,11 @@
 		}
 		return Verdict{Action: Refuse, Code: hscode.FlowNoService}
 	}
+	if c.cfg.LearnCapacity {
+		c.removeEarlier(p, key, hash)
+	}
 	if f := c.flows.Get(key, hash); f != nil && f.isRetransmission(p) {
-		if d := c.targets.byID[f.target]; d != nil && r.hasService(d.service) {
+		if d := c.targets.byID[f.target]; d != nil && r.hasService(d.service) && !c.isReplaced(now, d) {
 			c.Stats.Retransmits++
 			f.lastSeen = c.uptime(now)
 			if f.unanswered {
@@ -283,6 +300,7 @@
 	c.placer.Tick(now)
 	c.dropAbandoned(now)
 	c.measureRate(now)
+	c.findLostFlows(now)
 	if now.Sub(c.lastSweep) >= sweepInterval {
 		c.lastSweep = now
 		c.sweep(now)
--- a/internal/hscookie/flow.go
+++ b/internal/hscookie/flow.go
@@ -42,6 +42,13 @@
 		busy bool
 		// True if the data of the request in progress has passed this host.
 		requestSeen bool
+		// True if the flow is kept only in order to reset it; see Core.park.
+		parked bool
+		// Number of times that the caller sent the same data without progress, at
+		// most minSilentSends, and the sequence number after that data. Only
+		// counted with Config.LearnCapacity.
+		sends   uint8
+		sentEnd uint32
 	}
 
 	// pauses measures how often callers send a further request on an idle flow
@@ -130,10 +137,11 @@
 // trackPacket updates the state of a flow of route r for a later packet, which
 // is forwarded to d.
 func (c *Core) trackPacket(now time.Time, p *Packet, r *knownRoute, d *destination, key *hsflow.Key, hash uint64) {
-	f := c.flows.Get(key, hash)
+	f := c.tracked(key, hash)
 	ends := p.HasAny(FlagFin | FlagReset)
 	if f == nil {
 		if ends {
+			c.flows.Remove(key, hash)
 			return
 		}
 		if f = c.addFlow(now, key, hash, d.id); f == nil {
@@ -143,6 +151,7 @@
 	}
 	at := c.uptime(now)
 	f.lastSeen = at
+	answered := f.unanswered && f.target == d.id
 	if f.unanswered {
 		f.unanswered = false
 		if f.target == d.id {
@@ -153,6 +162,9 @@
 	if f.closed {
 		return
 	}
+	if c.cfg.LearnCapacity {
+		c.trackProgress(now, p, f, d, answered)
+	}
 	if f.target != d.id {
 		c.removeLoad(f)
 		f.target = d.id
@@ -327,7 +339,11 @@
 			c.removeLoad(f)
 			f.since = at
 		}
-		if age < flowTimeout {
+		if age < flowTimeout || (f.parked && age < idleTrackTime) {
+			return
+		}
+		if f.parked {
+			c.removeFlow(key, key.Hash(), f)
 			return
 		}
 		if !f.closed {
@@ -336,7 +352,9 @@
 		if r := c.routes.byAddress[key.Service()]; r != nil {
 			r.pauses.add(f.pause(at), false)
 		}
-		c.removeFlow(key, key.Hash(), f)
+		if !c.park(f) {
+			c.removeFlow(key, key.Hash(), f)
+		}
 	})
 }
 
--- a/internal/hscookie/routes.go
+++ b/internal/hscookie/routes.go
@@ -40,6 +40,7 @@
 		// Zero while the target is listed, else the time until which packets of
 		// open flows are still forwarded to it.
 		keepUntil time.Time
+		entryHistory
 	}
 )
 
@@ -79,6 +80,8 @@
 			service: record.Service,
 			address: record.Address,
 			cookie:  NewCookie(record.Service, record.ID),
+
+			entryHistory: newHistory(now, record, t.byID[record.ID]),
 		}
 	}
 	for id, old := range t.byID {
@@ -87,6 +90,7 @@
 		}
 		if old.keepUntil.IsZero() {
 			old.keepUntil = now.Add(maxLifetime)
+			old.removedAt = now
 		}
 		if now.Before(old.keepUntil) {
 			byID[id] = old
--- a/internal/hsdirect/control.go
+++ b/internal/hsdirect/control.go
@@ -104,11 +104,13 @@
 	c := &controller{
 		e: e,
 		core: NewCore(CoreConfig{
-			Self:          settings.DataAddr.Addr(),
-			Zone:          settings.Zone,
-			Boot:          e.cfg.Boot,
-			Seeds:         settings.Seeds,
-			WatchInterval: settings.watchInterval(),
+			Self:               settings.DataAddr.Addr(),
+			Zone:               settings.Zone,
+			Boot:               e.cfg.Boot,
+			Seeds:              settings.Seeds,
+			WatchInterval:      settings.watchInterval(),
+			StoreDetectionTime: settings.storeDetectionTime(),
+			LearnCapacity:      settings.LearnCapacity,
 		}),
 		counts: map[hscode.Code]uint64{},
 	}
@@ -208,12 +210,13 @@
 
 // applyOutput performs the actions that the core returned.
 func (c *controller) applyOutput(ctx context.Context, out Output) {
-	if out.Configuration != nil || out.TargetsChanged || out.Report != nil {
+	if out.Configuration != nil || out.TargetsChanged || out.Report != nil || out.Store != nil {
 		c.e.notifyData(ctx, dataMessage{
 			configuration: out.Configuration,
 			targets:       out.Targets,
 			targetsSet:    out.TargetsChanged,
 			report:        out.Report,
+			store:         out.Store,
 		})
 	}
 	c.logChanges(&out)
--- a/internal/hsdirect/core.go
+++ b/internal/hsdirect/core.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"heatherstack.org/heatherstack/internal/hscode"
+	"heatherstack.org/heatherstack/internal/hscookie"
 	"heatherstack.org/heatherstack/internal/hsfeed"
 	"heatherstack.org/heatherstack/internal/hsroster"
 	"heatherstack.org/heatherstack/internal/hsschema"
@@ -25,6 +26,10 @@
 		Seeds []netip.Addr
 		// Pause of the reader task between two calls to the store.
 		WatchInterval time.Duration
+		// Longest time until a reader notices that the store is unavailable.
+		StoreDetectionTime time.Duration
+		// See Settings.
+		LearnCapacity bool
 	}
 
 	// Heartbeat is a message to be sent to a peer.
@@ -57,6 +62,8 @@
 		Relist bool
 		// Load report received from a peer; nil if there is none.
 		Report *PeerReport
+		// Changed status of the store; nil if unchanged.
+		Store *hscookie.StoreStatus
 		// Result codes to count.
 		Codes []hscode.Code
 	}
@@ -97,6 +104,7 @@
 		merged map[uint64]bool
 		// When merged was last cleared.
 		mergedSince time.Time
+		store       storeTracker
 		out         Output
 	}
 )
@@ -175,6 +183,7 @@
 // store, and decides again whether this host reads the store. It must be called
 // every TickInterval.
 func (c *Core) Tick(now time.Time) Output {
+	c.checkCallGap(now)
 	c.applyRosterOutput(c.roster.Tick(now))
 	c.checkStoreLag(now)
 	c.elect(now)
@@ -197,6 +206,7 @@
 
 // Receive processes a heartbeat that arrived from the given address.
 func (c *Core) Receive(now time.Time, hb *hsschema.Heartbeat, from netip.Addr) Output {
+	c.checkCallGap(now)
 	if hb.GetFrom() != from.String() {
 		c.countCode(hscode.PeerUnknown)
 		return c.takeOutput()
@@ -220,6 +230,7 @@
 			c.out.Report.EjectionDuration = peerEjectionDuration(c.zonePeersAlive)
 		}
 	}
+	c.confirmByPeer(now, hb)
 	c.applyRosterOutput(out)
 	return c.takeOutput()
 }
@@ -249,10 +260,15 @@
 func (c *Core) ApplyStoreUpdate(now time.Time, u *hsfeed.Update) Output {
 	since := c.state.Position()
 	c.storeBehindSince = time.Time{}
+	c.checkCallGap(now)
 	c.applyUpdate(now, u)
 	if c.state.Position().After(since) {
 		c.pushChanges(since)
 	}
+	// A list may be of a stale page; a watch is answered by the current state.
+	if u.Since > 0 && c.store.source == c.self {
+		c.store.confirm(now, now)
+	}
 	return c.takeOutput()
 }
 
@@ -281,6 +297,9 @@
 // tells peers if that changed.
 func (c *Core) SetStoreAvailable(now time.Time, available bool) Output {
 	c.storeUnavailable = !available
+	if !available && c.store.source == c.self {
+		c.store.interrupt()
+	}
 	c.applyRosterOutput(c.roster.SetStoreUnavailable(now, c.storeUnavailable))
 	return c.takeOutput()
 }
@@ -361,6 +380,7 @@
 func (c *Core) countCode(code hscode.Code) { c.out.Codes = append(c.out.Codes, code) }
 
 func (c *Core) takeOutput() Output {
+	c.addStoreStatus()
 	out := c.out
 	c.out = Output{}
 	return out
--- a/internal/hsdirect/data.go
+++ b/internal/hsdirect/data.go
@@ -27,6 +27,7 @@
 		targets       []hsfeed.TargetRecord
 		targetsSet    bool
 		report        *PeerReport
+		store         *hscookie.StoreStatus
 		statusReply   chan<- DataStatus
 	}
 
@@ -35,6 +36,8 @@
 		Flows int
 		// Ejections of targets and zones since the start.
 		Ejections uint64
+		// Targets found to be lost because a later one is listed at their address.
+		LostTargets uint64
 		// Opening packets that are held until a target has room.
 		HeldPackets int
 		Stats       hscookie.Stats
@@ -160,6 +163,9 @@
 	d.lastTick = now
 	d.core.Tick(now)
 	d.processReleased(now)
+	for p, v, ok := d.core.NextReset(); ok; p, v, ok = d.core.NextReset() {
+		d.applyVerdict(now, &p, &v)
+	}
 	d.flowLog.tick(now, d.core)
 	ejected := d.core.AppendEjected(now, nil)
 	changed := !slices.Equal(ejected, d.lastEjected)
@@ -195,6 +201,9 @@
 	if m.configuration != nil {
 		d.core.SetConfiguration(now, m.configuration)
 	}
+	if m.store != nil {
+		d.core.SetStoreStatus(*m.store)
+	}
 	if m.targetsSet {
 		d.core.SetTargets(now, m.targets)
 	}
@@ -259,6 +268,7 @@
 		Flows:         d.core.FlowCount(),
 		HeldPackets:   d.core.HeldCount(),
 		Ejections:     d.flowLog.ejections,
+		LostTargets:   d.flowLog.lostTargets,
 		Stats:         d.core.Stats,
 		CodeCounts:    map[hscode.Code]uint64{},
 		AnswerTimes:   hdrhistogram.Import(d.core.Durations.Answer.Export()),
--- a/internal/hsdirect/elect.go
+++ b/internal/hsdirect/elect.go
@@ -39,6 +39,7 @@
 			break
 		}
 	}
+	c.trackSource(now, peers, timeout, reader)
 	if reader == c.reader {
 		return
 	}
--- a/internal/hsdirect/metrics.go
+++ b/internal/hsdirect/metrics.go
@@ -52,6 +52,8 @@
 		uintMetric("flow_adopted", s.MidstreamFlows),
 		uintMetric("flow_expired", s.Expired),
 		uintMetric("flow_reset", s.Resets),
+		uintMetric("flow_reset_reused", s.ReusedResets),
+		uintMetric("flow_reset_missing", s.MissingResets),
 		uintMetric("flow_waited", s.Held),
 		uintMetric("flow_waiting", uint64(d.HeldPackets)),
 		uintMetric("packet_forwarded", s.Forwarded),
@@ -65,6 +67,7 @@
 		uintMetric("state_revision", c.State.Revision),
 		uintMetric("state_version", c.ConfigurationVersion),
 		uintMetric("state_age_ms", uint64(c.StateAge.Milliseconds())),
+		uintMetric("target_lost", d.LostTargets),
 		uintMetric("target_listed", uint64(c.Targets)),
 		uintMetric("peer_alive", uint64(c.AlivePeers)),
 	}
--- a/internal/hsdirect/record.go
+++ b/internal/hsdirect/record.go
@@ -19,6 +19,8 @@
 	dropped uint64
 	// Ejections of targets and zones since the start.
 	ejections uint64
+	// Targets found to be lost since the start.
+	lostTargets uint64
 }
 
 const (
@@ -68,7 +70,7 @@
 	return key.Hash()&sampleMask == 0
 }
 
-// tick logs each new ejection of a target or zone, and the number of lines that
+// tick logs each new ejection of a target or zone, each lost target, and the number of lines that
 // the rate limit dropped.
 func (l *flowLogger) tick(now time.Time, core *hscookie.Core) {
 	for _, ej := range core.Ejections {
@@ -82,6 +84,17 @@
 		}
 	}
 	core.Ejections = core.Ejections[:0]
+	for _, lost := range core.LostTargets {
+		l.lostTargets++
+		if l.allow(now) {
+			l.e.log(log.WarnLevel, hscode.FlowTargetLost).
+				Uint64("target", uint64(lost.Target)).
+				Uint64("successor", uint64(lost.Successor)).
+				Str("address", lost.Address.String()).
+				Msg("target no longer exists: a later one is listed at its address")
+		}
+	}
+	core.LostTargets = core.LostTargets[:0]
 	if l.dropped > 0 && now.Sub(l.secondStart) >= time.Second {
 		l.e.log(log.WarnLevel, hscode.OK).Uint64("lines", l.dropped).Msg("log lines dropped by the rate limit")
 		l.dropped = 0
--- a/internal/hsdirect/settings.go
+++ b/internal/hsdirect/settings.go
@@ -102,6 +102,13 @@
 	return max(s.ApplyDeadline-s.watchInterval()-applyMargin, minWatchWait)
 }
 
+// storeDetectionTime returns the longest time until a reader notices that the
+// store is unavailable: the pause between two calls, the duration of a watch and
+// the timeout of a call.
+func (s *Settings) storeDetectionTime() time.Duration {
+	return s.watchInterval() + s.watchWait() + applyMargin
+}
+
 // unlistedGracePeriod returns the grace period: the time for which a target
 // that is no longer listed still takes new flows, unless it announced that it
 // drains.
--- a/internal/hsfeed/replica.go
+++ b/internal/hsfeed/replica.go
@@ -58,6 +58,10 @@
 // Revision returns the revision of the state.
 func (r *Replica) Revision() uint64 { return r.position.Revision }
 
+// EraSince returns the time at which this host entered the current era of the
+// store; zero before the first update.
+func (r *Replica) EraSince() time.Time { return r.targets.eraSince }
+
 // Configuration returns the current configuration, or nil.
 func (r *Replica) Configuration() *Configuration { return r.configuration }
 
--- a/internal/hsplace/health.go
+++ b/internal/hsplace/health.go
@@ -63,6 +63,13 @@
 	}
 }
 
+// ZoneUnanswered reports whether a zone was ejected and no target of it has
+// answered since.
+func (p *Placer) ZoneUnanswered(name string) bool {
+	z := p.zones[name]
+	return z != nil && !z.ejectedUntil.IsZero()
+}
+
 // RecordUnanswered records that a target did not answer an opening packet, and
 // returns the resulting ejections. This host's own zone is never ejected as a
 // whole: if its targets cannot be reached, the fault is in this host.
