--- a/internal/hscookie/core.go
+++ b/internal/hscookie/core.go
@@ -112,7 +112,7 @@
 		Durations   Durations
 		// Ejections since the code that uses the Core last cleared the list.
 		Ejections []hsplace.Ejection
-		// Targets found to be lost since the code that uses the Core last
+		// Targets found no longer to exist since the code that uses the Core last
 		// cleared the list.
 		LostTargets []LostTarget
 		// Number of packets by result code, without OK.
--- a/internal/hscookie/flow.go
+++ b/internal/hscookie/flow.go
@@ -27,6 +27,8 @@
 		// Requests that are expected on the flow at any time, as counted at its
 		// target. Zero unless the flow is idle.
 		expected float32
+		// Sequence number after the data that sends counts.
+		sentEnd uint32
 		// True if the opening packet passed this host.
 		opened    bool
 		ackKnown  bool
@@ -45,10 +47,12 @@
 		// True if the flow is kept only in order to reset it; see Core.park.
 		parked bool
 		// Number of times that the caller sent the same data without progress, at
-		// most minSilentSends, and the sequence number after that data. Only
-		// counted with Config.LearnCapacity.
-		sends   uint8
-		sentEnd uint32
+		// most minSilentSends. This and sentAt are only tracked with
+		// Config.LearnCapacity.
+		sends uint8
+		// When the caller first sent that data, in units of sentUnit. The number
+		// wraps after 11 minutes, so that a longer silence counts as a shorter one.
+		sentAt uint16
 	}
 
 	// pauses measures how often callers send a further request on an idle flow
--- a/internal/hscookie/lost.go
+++ b/internal/hscookie/lost.go
@@ -28,12 +28,13 @@
 	// Evidence is the reason for which a target certainly no longer exists.
 	Evidence uint8
 
-	// LostTarget is a target that certainly no longer exists, because another
-	// one is listed at its address.
+	// LostTarget is a target that certainly no longer exists.
 	LostTarget struct {
-		Target    hsfeed.TargetID
+		Target   hsfeed.TargetID
+		Address  netip.AddrPort
+		Evidence Evidence
+		// Target that is listed at the address; 0 unless Evidence is AddressReused.
 		Successor hsfeed.TargetID
-		Address   netip.AddrPort
 	}
 
 	// entryHistory is what is known of a target from its entries and from the flows
@@ -113,12 +114,19 @@
 	// minSilentSends is the number of times that a caller has to send the same
 	// data without progress. Two may be due to the loss of a single packet.
 	minSilentSends = 3
+	// sentUnit is the unit of flow.sentAt.
+	sentUnit = 10 * time.Millisecond
 	// idleTrackTime is the time without packets after which an idle flow can no
 	// longer be reset at once: longer than most pauses between the requests of a
 	// caller, and than the time in which an address is reassigned.
 	idleTrackTime = 10 * time.Second
 )
 
+var evidenceNames = [...]string{NoEvidence: "none", AddressReused: "address reused", EntryMissing: "entry missing"}
+
+// String returns the evidence in words.
+func (e Evidence) String() string { return evidenceNames[e] }
+
 // SetStoreStatus replaces what is known about the store.
 func (c *Core) SetStoreStatus(s StoreStatus) { c.losses.store = s }
 
@@ -128,16 +136,15 @@
 	return !s.EraSince.IsZero() && s.Era == era && now.Sub(s.EraSince) >= eraSettleTime
 }
 
-// isMissing reports whether an entry that was removed at the given time has
-// been missing for longer than the grace period, with the store available and
-// its era settled all the while. The zero time of an unknown status is before
-// any other, so that it never ends the grace period.
-func (s *StoreStatus) isMissing(removedAt time.Time, grace time.Duration) bool {
+// isMissing reports whether an entry that was removed at the given time has been
+// missing for longer than d, with the store available and its era settled all the
+// while.
+func (s *StoreStatus) isMissing(removedAt time.Time, d time.Duration) bool {
 	if removedAt.IsZero() || s.EraSince.IsZero() || s.AvailableSince.IsZero() {
 		return false
 	}
 	from := later(removedAt, later(s.EraSince.Add(eraSettleTime), s.AvailableSince))
-	return s.AvailableUntil.After(from.Add(max(grace, minMissingTime)))
+	return s.AvailableUntil.After(from.Add(d))
 }
 
 func later(a, b time.Time) time.Time {
@@ -212,16 +219,20 @@
 // evidence returns the evidence that target d of flow f no longer exists; f is
 // nil if the flow is not tracked. A missing entry counts only if the flow and
 // all others of this host to the target are silent, and the silence cannot be
-// due to the target's zone.
+// due to the target's zone. The silence has to last as long as the entry has to
+// be missing: a running target may have lost its link to the store some time ago,
+// and the link to this host for a moment.
 func (c *Core) evidence(now time.Time, d *destination, f *flow) Evidence {
 	switch {
 	case !c.cfg.LearnCapacity:
 		return NoEvidence
 	case c.isReplaced(now, d):
 		return AddressReused
-	case f == nil || f.sends < minSilentSends || d.lastProgress.After(d.removedAt):
+	case f == nil || f.sends < minSilentSends || c.silence(now, f) <= c.missingTime():
 		return NoEvidence
-	case c.placer.ZoneUnanswered(d.zone) || !c.losses.store.isMissing(d.removedAt, c.cfg.Placement.UnlistedGracePeriod):
+	case d.lastProgress.After(d.removedAt) || c.placer.ZoneUnanswered(d.zone):
+		return NoEvidence
+	case !c.losses.store.isMissing(d.removedAt, c.missingTime()):
 		return NoEvidence
 	}
 	return EntryMissing
@@ -241,12 +252,26 @@
 	}
 	c.losses.recordReset(now)
 	c.countLost(e)
+	c.reportLost(d, e)
 	if f != nil {
 		c.removeFlow(key, hash, f)
 	}
 	return true
 }
 
+// reportLost adds a target to Core.LostTargets, once.
+func (c *Core) reportLost(d *destination, e Evidence) {
+	if d.reported {
+		return
+	}
+	d.reported = true
+	lost := LostTarget{Target: d.id, Address: d.address, Evidence: e}
+	if e == AddressReused {
+		lost.Successor = d.successor.id
+	}
+	c.LostTargets = append(c.LostTargets, lost)
+}
+
 func (c *Core) countLost(e Evidence) {
 	if e == AddressReused {
 		c.Stats.ReusedResets++
@@ -273,7 +298,7 @@
 	end := p.Seq + uint32(p.DataSize)
 	switch {
 	case f.sends == 0, f.sends == 1 && isAfter(end, f.sentEnd):
-		f.sentEnd, f.sends = end, 1
+		f.sentEnd, f.sends, f.sentAt = end, 1, c.sentUnits(now)
 	case end == f.sentEnd:
 		f.sends = min(f.sends+1, minSilentSends)
 	case isAfter(f.sentEnd, end):
@@ -281,6 +306,20 @@
 	}
 }
 
+// silence returns the time since the caller first sent the data that it has been
+// sending again without progress.
+func (c *Core) silence(now time.Time, f *flow) time.Duration {
+	return time.Duration(c.sentUnits(now)-f.sentAt) * sentUnit
+}
+
+func (c *Core) sentUnits(now time.Time) uint16 { return uint16(c.uptime(now) / sentUnit) }
+
+// missingTime returns the time for which an entry has to be missing, and a flow
+// silent.
+func (c *Core) missingTime() time.Duration {
+	return max(c.cfg.Placement.UnlistedGracePeriod, minMissingTime)
+}
+
 // park keeps an idle flow for a reset, without its load, and reports whether it
 // did. A parked flow counts as not tracked in all other respects. At most half
 // of the table is used for parked flows.
@@ -316,10 +355,9 @@
 	if len(c.losses.replaced) == 0 {
 		return
 	}
-	for id, d := range c.losses.replaced {
-		if !d.reported && c.isReplaced(now, d) {
-			d.reported = true
-			c.LostTargets = append(c.LostTargets, LostTarget{Target: id, Successor: d.successor.id, Address: d.address})
+	for _, d := range c.losses.replaced {
+		if c.isReplaced(now, d) {
+			c.reportLost(d, AddressReused)
 		}
 	}
 	c.losses.cursor = c.flows.Scan(c.losses.cursor, maxSweepEntries, func(key *hsflow.Key, f *flow) {
--- a/internal/hsdirect/core_test.go
+++ b/internal/hsdirect/core_test.go
@@ -521,6 +521,22 @@
 	assert.Assert(t, slices.Contains(keys, `"for":`))
 }
 
+// TestLostTargetLine checks that the log line of a target that no longer exists
+// says why, once, and that it is counted.
+func TestLostTargetLine(t *testing.T) {
+	var b strings.Builder
+	e := &EntryHost{cfg: Config{Logger: &log.Logger{Writer: &log.IOWriter{Writer: &b}}}}
+	l := &flowLogger{e: e}
+	core := &hscookie.Core{LostTargets: []hscookie.LostTarget{{Target: 7, Successor: 9, Evidence: hscookie.AddressReused}}}
+	l.tick(epoch, core)
+	l.tick(epoch.Add(time.Second), core)
+	assert.Equal(t, strings.Count(b.String(), "\n"), 1, b.String())
+	for _, part := range []string{`"code":4020`, `"target":7`, `"successor":9`, `"evidence":"address reused"`} {
+		assert.Assert(t, strings.Contains(b.String(), part), b.String())
+	}
+	assert.Equal(t, l.lostTargets, uint64(1))
+}
+
 // BenchmarkTick measures the periodic work of a host that knows 294 others: a
 // tick and a load report.
 func BenchmarkTick(b *testing.B) {
--- a/internal/hsdirect/data.go
+++ b/internal/hsdirect/data.go
@@ -36,7 +36,7 @@
 		Flows int
 		// Ejections of targets and zones since the start.
 		Ejections uint64
-		// Targets found to be lost because a later one is listed at their address.
+		// Targets found no longer to exist since the start.
 		LostTargets uint64
 		// Opening packets that are held until a target has room.
 		HeldPackets int
--- a/internal/hsdirect/record.go
+++ b/internal/hsdirect/record.go
@@ -19,7 +19,7 @@
 	dropped uint64
 	// Ejections of targets and zones since the start.
 	ejections uint64
-	// Targets found to be lost since the start.
+	// Targets found no longer to exist since the start.
 	lostTargets uint64
 }
 
@@ -89,9 +89,10 @@
 		if l.allow(now) {
 			l.e.log(log.WarnLevel, hscode.FlowTargetLost).
 				Uint64("target", uint64(lost.Target)).
+				Str("evidence", lost.Evidence.String()).
 				Uint64("successor", uint64(lost.Successor)).
 				Str("address", lost.Address.String()).
-				Msg("target no longer exists: a later one is listed at its address")
+				Msg("target no longer exists; resetting its flows")
 		}
 	}
 	core.LostTargets = core.LostTargets[:0]
