hsdirect: known interval of the store ends with a silent reader; documentation of lost targets

Cause: in a large zone a silence of the reader of many seconds does not cost it its role, so that a reader that was paused during an outage of the store confirmed the whole time with its next heartbeat. Ruled out: the election's silence timeout, which grows with the zone. Change: an interval that was not prolonged for StoreDetectionTime begins again.

--- a/internal/hsdirect/storestatus.go
+++ b/internal/hsdirect/storestatus.go
@@ -17,6 +17,8 @@
 	// Interval in which the store was available; zero if unknown.
 	since time.Time
 	until time.Time
+	// Last heartbeat of a peer that prolonged the interval.
+	lastConfirm time.Time
 	// Last call of the Core.
 	lastCall time.Time
 	// Status that the data task was last given.
@@ -63,13 +65,20 @@
 
 // confirmByPeer prolongs the interval by a heartbeat of the zone's reader, if
 // this host's state is not behind the reader's. The reader notices an outage
-// within Config.StoreDetectionTime.
+// within CoreConfig.StoreDetectionTime. If it was not heard from for longer than
+// that, it may have been paused, and the interval begins again. In zones of more
+// than about 45 hosts, most hosts hear from the reader too rarely to know of any
+// interval.
 func (c *Core) confirmByPeer(now time.Time, hb *hsschema.Heartbeat) {
 	switch {
 	case hb.GetFrom() != c.store.source:
 	case hb.GetRefused() || hb.GetLeaving() || hb.GetGone():
 		c.store.interrupt()
 	case !c.peerPosition(hb.GetEra(), hb.GetVersion()).After(c.state.Position()):
+		if now.Sub(c.store.lastConfirm) > c.cfg.StoreDetectionTime {
+			c.store.interrupt()
+		}
+		c.store.lastConfirm = now
 		c.store.confirm(now, now.Add(-c.cfg.StoreDetectionTime))
 	}
 }
--- a/internal/hsdirect/storestatus_test.go
+++ b/internal/hsdirect/storestatus_test.go
@@ -129,6 +129,25 @@
 	assert.Equal(t, h.known(), time.Duration(-1), "the peer is silent")
 }
 
+// TestStoreStatusAfterPauseOfReader guards against a reader that was paused during
+// an outage of the store, and then sends heartbeats as if nothing had happened.
+func TestStoreStatusAfterPauseOfReader(t *testing.T) {
+	for _, pause := range []time.Duration{detectionTime - 4*TickInterval, detectionTime + 4*TickInterval} {
+		h := newStoreHost()
+		h.list(1, 5)
+		h.run(6*time.Second, false, h.heartbeat(false, 5))
+		since := h.status.AvailableSince
+		// Without ticks there is no election: in a large zone, silence does not yet
+		// cost the peer its role.
+		for range int(pause / TickInterval) {
+			h.now = h.now.Add(TickInterval)
+			h.core.checkCallGap(h.now)
+		}
+		h.apply(h.core.Receive(h.now, h.heartbeat(false, 5)(), h.peer))
+		assert.Equal(t, h.status.AvailableSince.Equal(since), pause < detectionTime)
+	}
+}
+
 // TestStoreStatusIsRare guards against a message to the data task for each
 // heartbeat, and against any if the feature is not active.
 func TestStoreStatusIsRare(t *testing.T) {
