--- a/internal/hsdirect/data.go
+++ b/internal/hsdirect/data.go
@@ -32,6 +32,7 @@
 		report       *PeerReport
 		statusReply  chan<- DataStatus
 		zonesReply   chan<- []hscookie.ZoneLoad
+		store        *hscookie.StoreStatus
 	}
 
 	// DataStatus is the data task's part of the metrics.
@@ -39,6 +40,8 @@
 		Flows int
 		// Ejections of targets and zones since the start.
 		Ejections uint64
+		// Targets found no longer to exist since the start.
+		LostTargets uint64
 		// Opening packets that are held until a target has room.
 		HeldPackets int
 		Stats       hscookie.Stats
@@ -164,6 +167,9 @@
 	d.lastTick = now
 	d.core.Tick(now)
 	d.processReleased(now)
+	for p, v, ok := d.core.NextReset(); ok; p, v, ok = d.core.NextReset() {
+		d.applyVerdict(now, &p, &v)
+	}
 	d.flowLog.tick(now, d.core)
 	ejected := d.core.AppendEjected(now, nil)
 	changed := !slices.Equal(ejected, d.lastEjected)
@@ -199,6 +205,9 @@
 	if m.configuration != nil {
 		d.core.SetConfiguration(now, m.configuration)
 	}
+	if m.store != nil {
+		d.core.SetStoreStatus(*m.store)
+	}
 	if m.targetsSet {
 		d.core.SetTargets(now, m.targets)
 	}
@@ -270,6 +279,7 @@
 		Flows:         d.core.FlowCount(),
 		HeldPackets:   d.core.HeldCount(),
 		Ejections:     d.flowLog.ejections,
+		LostTargets:   d.flowLog.lostTargets,
 		Stats:         d.core.Stats,
 		CodeCounts:    map[hscode.Code]uint64{},
 		AnswerTimes:   hdrhistogram.Import(d.core.Durations.Answer.Export()),
