--- a/internal/hscookie/core.go
+++ b/internal/hscookie/core.go
@@ -181,6 +181,9 @@
 // receive no new flows; packets of open flows are forwarded as before.
 func (c *Core) SetEvacuations(now time.Time, zones []string) { c.placer.SetEvacuations(now, zones) }
 
+// SetCutOff sets whether this host is cut off from everything outside its zone.
+func (c *Core) SetCutOff(cutOff bool) { c.placer.SetCutOff(cutOff) }
+
 // ApplyReport applies another host's report of its loads, which replaces the
 // host's earlier report.
 func (c *Core) ApplyReport(now time.Time, host string, loads []hsplace.Load) {
--- a/internal/hsdirect/control.go
+++ b/internal/hsdirect/control.go
@@ -222,7 +222,7 @@
 
 // applyOutput performs the actions that the core returned.
 func (c *controller) applyOutput(ctx context.Context, out Output) {
-	if out.Configuration != nil || out.TargetsChanged || out.EvacuationsChanged || out.Report != nil || out.Store != nil {
+	if out.Configuration != nil || out.TargetsChanged || out.EvacuationsChanged || out.Report != nil || out.Store != nil || out.CutOffChanged {
 		c.e.notifyData(ctx, dataMessage{
 			configuration: out.Configuration,
 			targets:       out.Targets,
@@ -231,6 +231,8 @@
 			evacuatedSet:  out.EvacuationsChanged,
 			report:        out.Report,
 			store:         out.Store,
+			cutOff:        out.CutOff,
+			cutOffSet:     out.CutOffChanged,
 		})
 	}
 	c.logChanges(&out)
@@ -271,6 +273,10 @@
 	if out.Relist {
 		c.e.log(log.WarnLevel, hscode.PlatformRead).Uint64("revision", revision).Msg("peers have a change that the store did not deliver to this host; listing the store again")
 	}
+	if out.CutOffChanged {
+		c.e.log(log.WarnLevel, hscode.OK).Bool("cutoff", out.CutOff).
+			Msg("reachability of other zones and the store changed while this zone is being evacuated")
+	}
 	if out.ReaderChanged {
 		c.e.log(log.InfoLevel, hscode.OK).Bool("reader", c.core.IsReader()).Msg("store reader role changed")
 	}
--- a/internal/hsdirect/core.go
+++ b/internal/hsdirect/core.go
@@ -58,6 +58,10 @@
 		// Evacuations in force; valid if EvacuationsChanged.
 		Evacuations        []hsfeed.EvacuationRecord
 		EvacuationsChanged bool
+		// Whether this host is cut off from everything outside its zone, which is
+		// being evacuated; valid if CutOffChanged.
+		CutOff        bool
+		CutOffChanged bool
 		// True if the result of Core.IsReader changed.
 		ReaderChanged bool
 		// True if the reader task has to list the store again because the connection
@@ -86,6 +90,7 @@
 		// to be dead.
 		storeUnavailable bool
 		leaving          bool
+		isolation        isolation
 		lastFetch        time.Time
 		// When a peer delivered the first change that this host, as a reader, has not
 		// received from the store; zero if there is none.
@@ -190,6 +195,7 @@
 	c.applyRosterOutput(c.roster.Tick(now))
 	c.checkStoreLag(now)
 	c.elect(now)
+	c.checkIsolation(now)
 	c.applyChange(c.state.Tick(now))
 	if now.Sub(c.mergedSince) >= mergedTime {
 		clear(c.merged)
@@ -219,6 +225,10 @@
 		c.countCode(code)
 		return c.takeOutput()
 	}
+	if zone := hb.GetZone(); zone != "" && zone != c.cfg.Zone {
+		c.isolation.lastRemote = now
+		c.checkIsolation(now)
+	}
 	c.compareState(now, &out, hb, from)
 	switch hb.GetKind() {
 	case hsschema.Heartbeat_KIND_UPDATE:
@@ -300,6 +310,7 @@
 // tells peers if that changed.
 func (c *Core) SetStoreAvailable(now time.Time, available bool) Output {
 	c.storeUnavailable = !available
+	c.checkIsolation(now)
 	if !available && c.store.source == c.self {
 		c.store.interrupt()
 	}
--- a/internal/hsdirect/data.go
+++ b/internal/hsdirect/data.go
@@ -33,6 +33,9 @@
 		statusReply  chan<- DataStatus
 		zonesReply   chan<- []hscookie.ZoneLoad
 		store        *hscookie.StoreStatus
+		// Whether this host is cut off; valid if cutOffSet.
+		cutOff    bool
+		cutOffSet bool
 	}
 
 	// DataStatus is the data task's part of the metrics.
@@ -211,6 +214,10 @@
 	if m.targetsSet {
 		d.core.SetTargets(now, m.targets)
 	}
+	if m.cutOffSet {
+		d.core.SetCutOff(m.cutOff)
+		d.processReleased(now)
+	}
 	if m.evacuatedSet {
 		d.core.SetEvacuations(now, m.evacuated)
 		d.processReleased(now)
--- a/internal/hsdirect/elect.go
+++ b/internal/hsdirect/elect.go
@@ -26,15 +26,17 @@
 // elect decides whether this host reads the store. It does, unless a peer in
 // its zone has a lower rank, the store is available to that peer, and the peer
 // was heard from within silenceTimeout. During its planned stop, this host
-// leaves the role to such a peer of any rank.
+// leaves the role to such a peer of any rank. A host that may be cut off reads the
+// store in any case; see isolation.
 func (c *Core) elect(now time.Time) {
 	peers := c.aliveZonePeers()
 	c.zonePeersAlive = len(peers)
 	timeout := silenceTimeout(c.zonePeersAlive)
+	isolated := c.isolated(now)
 	reader := true
 	for _, p := range peers {
 		eligible := !p.StoreUnavailable && now.Sub(p.LastHeard) < timeout
-		if eligible && (c.leaving || electionRank(p.Name) < electionRank(c.self)) {
+		if eligible && !isolated && (c.leaving || electionRank(p.Name) < electionRank(c.self)) {
 			reader = false
 			break
 		}
@@ -72,6 +74,12 @@
 	if !c.reader || c.storeUnavailable || c.storeBehindSince.IsZero() || now.Sub(c.storeBehindSince) < c.cfg.WatchInterval+storeLagMargin {
 		return
 	}
+	c.treatStoreAsUnavailable(now)
+}
+
+// treatStoreAsUnavailable lets the reader task abort the call in progress and list
+// the store; the store counts as unavailable until that succeeds.
+func (c *Core) treatStoreAsUnavailable(now time.Time) {
 	c.storeBehindSince = time.Time{}
 	c.out.Relist = true
 	c.storeUnavailable = true
--- a/internal/hsplace/evacuation.go
+++ b/internal/hsplace/evacuation.go
@@ -34,3 +34,8 @@
 		t.record.WarmUpUntil = t.warmUpAfterEvacuation
 	}
 }
+
+// SetCutOff sets whether this host is cut off from everything outside its zone.
+// If so, the targets of its zone receive new flows in spite of an evacuation, as
+// long as there are no others: its callers can reach no other target.
+func (p *Placer) SetCutOff(cutOff bool) { p.cutOff = cutOff }
--- a/internal/hsplace/place.go
+++ b/internal/hsplace/place.go
@@ -77,9 +77,12 @@
 		zones map[string]*zone
 		// Names of the zones that are being evacuated.
 		evacuated map[string]bool
+		// See SetCutOff.
+		cutOff bool
 		// Buffers of candidates.
-		eligible []*target
-		ejected  []*target
+		eligible   []*target
+		ejected    []*target
+		lastResort []*target
 	}
 
 	target struct {
@@ -351,22 +354,28 @@
 }
 
 // candidates returns the targets of a pool that are not excluded, and the number
-// of ejected ones. If ejections leave no target, it returns the ejected ones: the
-// cause may then be in this host. The result is valid until the next call.
+// of ejected ones. If ejections leave no target, it returns the evacuated ones of
+// this zone if the host is cut off, else the ejected ones: the cause may then be in
+// this host. The result is valid until the next call.
 func (p *Placer) candidates(now time.Time, pool []*target) ([]*target, int) {
-	p.eligible, p.ejected = p.eligible[:0], p.ejected[:0]
+	p.eligible, p.ejected, p.lastResort = p.eligible[:0], p.ejected[:0], p.lastResort[:0]
 	for _, t := range pool {
 		switch e := p.exclusion(now, t); {
 		case e == NotExcluded:
 			p.eligible = append(p.eligible, t)
 		case e.isEjection():
 			p.ejected = append(p.ejected, t)
+		case e == Evacuated && p.cutOff && t.sameZone:
+			p.lastResort = append(p.lastResort, t)
 		}
 	}
-	if len(p.eligible) == 0 {
-		return p.ejected, len(p.ejected)
+	switch {
+	case len(p.eligible) > 0:
+		return p.eligible, len(p.ejected)
+	case len(p.lastResort) > 0:
+		return p.lastResort, len(p.ejected)
 	}
-	return p.eligible, len(p.ejected)
+	return p.ejected, len(p.ejected)
 }
 
 // lowest returns the target with the lowest value, chosen at random among
