--- a/internal/hscookie/lost.go
+++ b/internal/hscookie/lost.go
@@ -224,8 +224,6 @@
 // and the link to this host for a moment.
 func (c *Core) evidence(now time.Time, d *destination, f *flow) Evidence {
 	switch {
-	case !c.cfg.LearnCapacity:
-		return NoEvidence
 	case c.isReplaced(now, d):
 		return AddressReused
 	case f == nil || f.sends < minSilentSends || c.silence(now, f) <= c.missingTime():
