hsdirect, hsplace: a zone that is cut off while it is being evacuated serves its callers

Change: a host whose zone is being evacuated, that has heard no other zone for 1 s, calls the store itself; if that fails for 1.2 s, its zone's targets receive flows as a last resort. Any message from another zone or answer of the store ends it at once, so that hosts in touch apply the evacuation. Ruled out: believing a peer's report of the store, which says nothing about this host.

--- a/internal/hsdirect/isolation.go
+++ b/internal/hsdirect/isolation.go
@@ -14,9 +14,12 @@
 	// When a host of another zone was last heard; zero if never. A host that has
 	// heard none is not taken for cut off: there may be no other zones.
 	lastRemote time.Time
-	// When the host began to check whether it reaches the store, because no other
-	// zone was heard; zero if it does not.
-	checkingSince time.Time
+	// True while the host checks whether it reaches the store, because no other zone
+	// is heard.
+	checking bool
+	// Since when the store has been unavailable to the host during the check; zero if
+	// it is available.
+	unavailableSince time.Time
 	// Last result given to the data task.
 	cutOff bool
 }
@@ -26,8 +29,8 @@
 	// host checks whether it is cut off. In any deployment, a host receives several
 	// messages a second from other zones.
 	remoteSilence = time.Second
-	// storeCheckTime is the time in which a call to the store fails if it cannot be
-	// reached: the time limits of the connection and of the answer.
+	// storeCheckTime is the time for which the store has to be unavailable: the time
+	// limits of a connection and of an answer, after which a call has failed.
 	storeCheckTime = 1200 * time.Millisecond
 )
 
@@ -48,16 +51,17 @@
 func (c *Core) checkIsolation(now time.Time) {
 	i := &c.isolation
 	isolated := c.isolated(now)
-	if isolated && i.checkingSince.IsZero() {
-		i.checkingSince = now
-		if c.reader && !c.storeUnavailable {
-			c.treatStoreAsUnavailable(now)
-		}
+	if isolated && !i.checking && c.reader && !c.storeUnavailable {
+		c.treatStoreAsUnavailable(now)
 	}
-	if !isolated {
-		i.checkingSince = time.Time{}
+	i.checking = isolated
+	switch {
+	case !isolated || !c.reader || !c.storeUnavailable:
+		i.unavailableSince = time.Time{}
+	case i.unavailableSince.IsZero():
+		i.unavailableSince = now
 	}
-	cutOff := isolated && c.reader && c.storeUnavailable && now.Sub(i.checkingSince) >= storeCheckTime
+	cutOff := !i.unavailableSince.IsZero() && now.Sub(i.unavailableSince) >= storeCheckTime
 	if cutOff != i.cutOff {
 		i.cutOff = cutOff
 		c.out.CutOff = cutOff
