hssoak: zones are evacuated beside the other faults

Cause: only real processes under faults show that no opening packet arrives in an evacuated zone. After a restore the operator writes each request again, and removes those that have ended. A test builds the first host's program with the fault that the data task ignores evacuations, and expects violations.

--- a/internal/hsfeed/replica_test.go
+++ b/internal/hsfeed/replica_test.go
@@ -132,6 +132,8 @@
 			assert.Equal(t, replica.Revision(), store.Revision())
 			assert.Assert(t, slices.EqualFunc(replica.Targets(), store.Targets(), sameTarget))
 			assert.Equal(t, replica.Configuration().Version, store.Configuration().Version)
+			assert.DeepEqual(t, evacuatedZones(replica), evacuatedZones(store))
+			assert.Equal(t, replica.Digest(), store.Digest())
 		}
 	})
 }
@@ -143,16 +145,18 @@
 	return a == b
 }
 
-// applyChange applies an event to the store: a configuration, an announcement
-// or a removal, depending on step.
+// applyChange applies an event to the store: a configuration, an announcement, a
+// removal, or the start or end of an evacuation, depending on step.
 func applyChange(store *Replica, step int) {
 	r := store.Revision() + 1
 	ev := Event{Revision: r}
-	switch step % 3 {
+	switch step % 5 {
 	case 0:
 		ev.Configuration = newConfiguration(r, "desk")
 	case 1:
 		ev.Target = newTarget(TargetID(step%7+1), int(r))
+	case 2, 3:
+		ev.Evacuation = &Evacuation{Zone: string(rune('a' + step%7/3)), Ended: step%5 == 3}
 	default:
 		ev.Removed = TargetID(step%7 + 1)
 	}
--- a/internal/hssoak/checker.go
+++ b/internal/hssoak/checker.go
@@ -40,7 +40,11 @@
 		flows   map[netip.AddrPort]*flowState
 		targets map[hsfeed.TargetID]*targetState
 		routes  map[netip.AddrPort]*routeState
-		rep     Report
+		// Times at which the store acknowledged the requests for evacuations that
+		// are in force, by zone; zero for others.
+		evacuatedSince map[string]time.Time
+
+		rep Report
 		// Time of the last start or end of a store disturbance for all hosts.
 		storeDisturbed time.Time
 		// True once the recovery time is over.
@@ -71,6 +75,7 @@
 
 	targetState struct {
 		service string
+		zone    string
 		// False once the target has lost its flows.
 		alive bool
 		// Time at which the store acknowledged that the target drains or is
@@ -115,6 +120,8 @@
 		flows:   map[netip.AddrPort]*flowState{},
 		targets: map[hsfeed.TargetID]*targetState{},
 		routes:  map[netip.AddrPort]*routeState{},
+
+		evacuatedSince: map[string]time.Time{},
 	}
 }
 
@@ -163,10 +170,10 @@
 	return all[rng.IntN(len(all))]
 }
 
-func (c *checker) addTarget(id hsfeed.TargetID, service string) {
+func (c *checker) addTarget(id hsfeed.TargetID, service, zone string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.targets[id] = &targetState{service: service, alive: true}
+	c.targets[id] = &targetState{service: service, zone: zone, alive: true}
 }
 
 // targetEndPublished records that the store acknowledged that a target drains
@@ -207,6 +214,7 @@
 	if !limitsApply || now.Sub(c.storeDisturbed) < gracePeriod {
 		return
 	}
+	c.checkEvacuationLocked(t.zone, fmt.Sprintf("%s>%s through %s", from, to, hostAddr), now)
 	if !t.endPublished.IsZero() && now.Sub(t.endPublished) > drainTime+c.slack {
 		c.failLocked("flow %s>%s reached target %x %v after its end was published", from, to, uint64(id), now.Sub(t.endPublished))
 	}
--- a/internal/hssoak/faults.go
+++ b/internal/hssoak/faults.go
@@ -253,8 +253,10 @@
 	for _, t := range targets {
 		t.publish()
 	}
+	s.rewriteEvacuations(false)
 	s.checker.setStoreDisturbed()
 	hstask.Sleep(ctx, expiryTime)
+	s.rewriteEvacuations(true)
 	for _, id := range s.checker.endedTargets() {
 		s.cfg.Store.Publish(&hsfeed.Event{Removed: id})
 	}
--- a/internal/hssoak/host.go
+++ b/internal/hssoak/host.go
@@ -21,6 +21,7 @@
 // store.
 type host struct {
 	s            *soak
+	binary       string
 	settings     hsdirect.Settings
 	settingsPath string
 	log          *os.File
@@ -60,12 +61,16 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	h := &host{s: s, proxy: p, disturbed: time.Now()}
+	h := &host{s: s, binary: s.cfg.Binary, proxy: p, disturbed: time.Now()}
+	if i == 0 && s.cfg.FirstBinary != "" {
+		h.binary = s.cfg.FirstBinary
+	}
 	h.settings = hsdirect.Settings{
 		Name: "h" + addr.String(), Zone: zoneName(i % zoneCount),
 		DataAddr: netip.AddrPortFrom(addr, dataPort), ReadyAddr: netip.AddrPortFrom(addr, readyPort), PeerPort: peerPort,
 		Seeds:     []netip.Addr{s.addr(0, 1), s.addr(0, 2), s.addr(0, 3)},
 		StoreAddr: store, StopTimeout: stopTimeout, MaxFlowLifetime: time.Minute, ApplyDeadline: applyDeadline, DrainTime: drainTime,
+		EvacuationDeadline: evacuationDeadline,
 	}
 	h.settingsPath = filepath.Join(s.cfg.Folder, h.settings.Name+".json")
 	if err := os.WriteFile(h.settingsPath, s.cfg.Format.Settings(&h.settings), 0o600); err != nil {
@@ -78,7 +83,7 @@
 func (h *host) start() error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	cmd := exec.Command(h.s.cfg.Binary)
+	cmd := exec.Command(h.binary)
 	cmd.Env = append(os.Environ(), h.s.cfg.Format.SettingsVariable()+"="+h.settingsPath)
 	cmd.Stdout = h.log
 	cmd.Stderr = h.log
--- a/internal/hssoak/soak.go
+++ b/internal/hssoak/soak.go
@@ -3,8 +3,8 @@
 // targets observe. Signals kill, pause, stop and restart processes; proxies cut
 // off or slow down the connections to the store; the store drops its history, or
 // is restored from a copy; targets drain, crash, become unresponsive and hand
-// their addresses to other targets; and new configurations are published, some
-// in quick succession.
+// their addresses to other targets; new configurations are published, some in
+// quick succession; and zones are evacuated.
 package hssoak
 
 import (
@@ -56,6 +56,11 @@
 		Store  Store
 		// Path of the hsdirect executable.
 		Binary string
+		// Path of the executable of the first host; empty if it is Binary. A test of
+		// the checks gives one with a fault.
+		FirstBinary string
+		// True if zones are evacuated and no other fault is injected until the end.
+		OnlyEvacuations bool
 		// Folder for settings files and logs.
 		Folder string
 		// Second byte of the loopback addresses in use.
@@ -97,6 +102,8 @@
 		version  uint64
 		// Current configuration.
 		configuration *hsfeed.Configuration
+		// Zones that were ever evacuated, and whether they are now.
+		evacuated map[string]bool
 		// Functions that restore the latest copies of the store, oldest first.
 		copies []func()
 	}
@@ -125,7 +132,7 @@
 func Run(ctx context.Context, cfg Config) (*Report, error) {
 	runCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	s := &soak{cfg: cfg, checker: newChecker(cfg.Slack), rng: rand.New(rand.NewPCG(cfg.Seed, 1))}
+	s := &soak{cfg: cfg, checker: newChecker(cfg.Slack), rng: rand.New(rand.NewPCG(cfg.Seed, 1)), evacuated: map[string]bool{}}
 	s.g, runCtx = errgroup.WithContext(runCtx)
 	if err := os.MkdirAll(cfg.Folder, 0o700); err != nil {
 		return nil, errors.Trace(err)
@@ -190,7 +197,12 @@
 	// The plan has its own generator, so that it depends on the seed alone and
 	// not on other random draws of the run.
 	plan := rand.New(rand.NewPCG(s.cfg.Seed, 2))
-	for end := time.Now().Add(s.cfg.Duration); time.Now().Before(end) && ctx.Err() == nil; {
+	end := time.Now().Add(s.cfg.Duration)
+	running.Go(func() error {
+		s.evacuateZones(ctx, end)
+		return nil
+	})
+	for time.Now().Before(end) && ctx.Err() == nil && !s.cfg.OnlyEvacuations {
 		s.copyStore()
 		f := faults[plan.IntN(len(faults))]
 		rng := rand.New(rand.NewPCG(s.cfg.Seed, plan.Uint64()))
--- a/internal/hssoak/target.go
+++ b/internal/hssoak/target.go
@@ -82,7 +82,7 @@
 	}}
 	s.targets = append(s.targets, t)
 	s.mu.Unlock()
-	s.checker.addTarget(t.entry.ID, service)
+	s.checker.addTarget(t.entry.ID, service, zone)
 	s.g.Go(func() error { return t.run(ctx) })
 	t.publish()
 	return nil
