--- a/internal/hsdirect/evacuation_test.go
+++ b/internal/hsdirect/evacuation_test.go
@@ -82,15 +82,18 @@
 		{hsfeed.Update{Era: 1, Revision: 5, Events: []hsfeed.Event{{Revision: 2, Configuration: &hsfeed.Configuration{Version: 4}}}}, nil, nil},
 		{
 			hsfeed.Update{Era: 1, Since: 5, Revision: 7, Events: []hsfeed.Event{evacuation(6, "a", false), evacuation(7, "b", false)}},
-			[]string{"a", "b"}, []string{`"zone":"a","requested":6,"era":1,"revision":7,"message":"zone evacuation started"`, `"zone":"b"`},
+			[]string{"a", "b"},
+			[]string{`"zone":"a","requested":6,"era":1,"revision":7,"message":"zone evacuation started"`, `"zone":"b"`},
 		},
 		{
 			hsfeed.Update{Era: 1, Since: 7, Revision: 8, Events: []hsfeed.Event{evacuation(8, "a", true)}},
-			[]string{"b"}, []string{`"zone":"a"`, `"message":"zone evacuation ended"`},
+			[]string{"b"},
+			[]string{`"zone":"a"`, `"message":"zone evacuation ended"`},
 		},
 		{
 			hsfeed.Update{Era: 2, Revision: 5},
-			[]string{"b"}, []string{`"level":"warn"`, `"code":6006`, `"zone":"b"`, "the store lacks the evacuation of a zone"},
+			[]string{"b"},
+			[]string{`"level":"warn"`, `"code":6006`, `"zone":"b"`, "the store lacks the evacuation of a zone"},
 		},
 		{hsfeed.Update{Era: 2, Since: 5, Revision: 6, Events: []hsfeed.Event{{Revision: 6, Removed: 9}}}, []string{"b"}, nil},
 	}
