--- a/internal/hsplace/evacuation_test.go
+++ b/internal/hsplace/evacuation_test.go
@@ -70,3 +70,20 @@
 	p.SetTargets(end.Add(2*time.Second), list)
 	assert.Equal(t, p.targets[1].record.WarmUpUntil, time.Time{})
 }
+
+// TestCutOffHost guards against callers who are not served because the only targets
+// that they can reach are in a zone that is being evacuated, and against flows there
+// while there are others.
+func TestCutOffHost(t *testing.T) {
+	p := newPlacer(newRecord(1, "a"), newRecord(2, "b"), newRecord(3, "b"), newRecord(4, "c"))
+	p.SetEvacuations(epoch, []string{"a", "c"})
+	p.SetCutOff(true)
+	assert.Equal(t, p.targets[choose(t, p, epoch)].record.Zone, "b")
+	p.RecordUnanswered(epoch, 2)
+	p.RecordUnanswered(epoch, 3)
+	for range 5 {
+		assert.Equal(t, choose(t, p, epoch), hsfeed.TargetID(1))
+	}
+	p.SetCutOff(false)
+	assert.Equal(t, p.targets[choose(t, p, epoch)].record.Zone, "b")
+}
