hsplace, hscookie, hsdirect: limit the flows of targets in warm-up

Cause: cold targets got up to 377 times more flows a second than they take. Change: Placer.exclusion has the case WarmUpLimit for targets in warm-up whose service has a rate; hsdirect keeps the names of hosts heard of within ten minutes and sends their number in heartbeats. A service whose targets are all limited holds no more packets than this host may place before their latency objective, and refuses the others at once. Metrics flow_limited, target_limited, peer_members, log field excluded. Ruled out: Queue.SetReleaseRate alone, whose lower bound of 16 packets lets callers wait for a share of 0.37 flows a second.

--- a/internal/hsbudget/budget.go
+++ b/internal/hsbudget/budget.go
@@ -22,7 +22,7 @@
 
 type (
 	// Share is the part of all targets' slots that one host owns. It is not safe
-	// for concurrent use. The zero value owns every slot.
+	// for concurrent use.
 	Share struct {
 		// Hash of this host's name.
 		self uint64
@@ -84,9 +84,10 @@
 	tokenSlots = 2
 )
 
-// NewShare returns the share of a host that knows no other member.
+// NewShare returns the share of a host that does not know yet how many members
+// there are.
 func NewShare(self string) *Share {
-	return &Share{self: xxhash.Sum64String(self), count: 1}
+	return &Share{self: xxhash.Sum64String(self), count: unsettledCount}
 }
 
 // Set replaces the members. names may contain this host. Counts below the number
@@ -104,7 +105,7 @@
 }
 
 // Count returns the number of members that share the slots.
-func (s *Share) Count() int { return max(s.count, 1) }
+func (s *Share) Count() int { return s.count }
 
 // owns reports whether this host owns a slot of a target.
 func (s *Share) owns(target uint64, slot int64) bool {
--- a/internal/hsbudget/budget_test.go
+++ b/internal/hsbudget/budget_test.go
@@ -58,6 +58,7 @@
 // one that stops placing flows then.
 func TestClockJumps(t *testing.T) {
 	s := NewShare("h")
+	s.Set(nil, 1)
 	a := NewAllowance(1, 1)
 	now := time.Unix(1_700_000_000, 0)
 	use := func() int {
--- a/internal/hscookie/admit.go
+++ b/internal/hscookie/admit.go
@@ -7,6 +7,7 @@
 
 	"heatherstack.org/heatherstack/internal/hscode"
 	"heatherstack.org/heatherstack/internal/hsflow"
+	"heatherstack.org/heatherstack/internal/hsplace"
 	"heatherstack.org/heatherstack/internal/hsqueue"
 )
 
@@ -75,6 +76,9 @@
 			return v
 		}
 	}
+	if v.Choice.Exclusion == hsplace.WarmUpLimit && c.countHeld(h.service) >= c.placer.UpcomingFlows(now, it.Deadline, h.service) {
+		return c.refuseLimited(v.Choice)
+	}
 	if len(h.packet.Raw) > maxHeldPacketSize {
 		return Verdict{Action: Refuse, Code: hscode.FlowOverload, Choice: v.Choice}
 	}
@@ -148,6 +152,9 @@
 		v := c.decideHeld(now, it)
 		if v.Action == Hold {
 			full[it.Value.service] = true
+			if limited, ok := c.removeLimited(now, it, &v); ok {
+				return limited.Value.packet, c.countVerdict(c.refuseLimited(v.Choice)), true
+			}
 			continue
 		}
 		p := it.Value.packet
@@ -156,6 +163,30 @@
 	}
 }
 
+// refuseLimited returns the verdict on an opening packet whose service has only
+// targets in warm-up that take no more flows from this host in time.
+func (c *Core) refuseLimited(ch hsplace.Choice) Verdict {
+	c.Stats.Limited++
+	return Verdict{Action: Refuse, Code: hscode.FlowOverload, Choice: ch}
+}
+
+// removeLimited removes a held packet of the service of it, the next item of that
+// service, if the limits of the targets in warm-up, which led to the verdict v,
+// leave fewer flows for this host than it holds. Later arrivals may have used
+// what the packet waited for.
+func (c *Core) removeLimited(now time.Time, it *hsqueue.Item[heldPacket], v *Verdict) (hsqueue.Item[heldPacket], bool) {
+	service := it.Value.service
+	if v.Choice.Exclusion != hsplace.WarmUpLimit || c.countHeld(service) <= c.placer.UpcomingFlows(now, it.Deadline, service) {
+		return hsqueue.Item[heldPacket]{}, false
+	}
+	return c.held.RemoveLast(now, func(h *heldPacket) bool { return h.service == service })
+}
+
+// countHeld returns the number of held packets of a service.
+func (c *Core) countHeld(service string) int {
+	return c.held.Count(func(h *heldPacket) bool { return h.service == service })
+}
+
 // decideHeld decides how a held item is handled under the current
 // configuration.
 func (c *Core) decideHeld(now time.Time, it *hsqueue.Item[heldPacket]) Verdict {
--- a/internal/hscookie/core.go
+++ b/internal/hscookie/core.go
@@ -6,6 +6,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"heatherstack.org/heatherstack/internal/hsbudget"
 	"heatherstack.org/heatherstack/internal/hscode"
 	"heatherstack.org/heatherstack/internal/hsfeed"
 	"heatherstack.org/heatherstack/internal/hsflow"
@@ -67,6 +68,9 @@
 		// Opening packets held while their service was full, without
 		// retransmissions of held ones.
 		Held uint64
+		// Opening packets refused because all targets of their service are in
+		// warm-up and take no more flows from this host in time.
+		Limited uint64
 	}
 
 	// Durations holds histograms of durations in microseconds.
@@ -166,6 +170,12 @@
 	c.placer.SetTargets(now, list)
 }
 
+// SetMembers sets the entry hosts that share the flows of targets in warm-up.
+func (c *Core) SetMembers(v *hsbudget.View) { c.placer.SetMembers(v) }
+
+// LimitedTargets returns the number of targets whose new flows are limited now.
+func (c *Core) LimitedTargets(now time.Time) int { return c.placer.LimitedTargets(now) }
+
 // ApplyReport applies another host's report of its loads, which replaces the
 // host's earlier report.
 func (c *Core) ApplyReport(now time.Time, host string, loads []hsplace.Load) {
--- a/internal/hsdirect/control.go
+++ b/internal/hsdirect/control.go
@@ -49,7 +49,9 @@
 		StateAge time.Duration
 		Targets  int
 		// Peers that are considered alive.
-		AlivePeers  int
+		AlivePeers int
+		// Entry hosts heard of in the last minutes, this host included.
+		Members     int
 		StoreReader bool
 		// Calls to the store, and how many of them failed.
 		StoreCalls    uint64
@@ -187,6 +189,7 @@
 		StoreFailures: c.e.storeFailures.Load(),
 		CodeCounts:    maps.Clone(c.counts),
 	}
+	st.Members = c.core.MemberCount()
 	if cfg := state.Configuration(); cfg != nil {
 		st.ConfigurationVersion = cfg.Version
 	}
@@ -208,12 +211,13 @@
 
 // applyOutput performs the actions that the core returned.
 func (c *controller) applyOutput(ctx context.Context, out Output) {
-	if out.Configuration != nil || out.TargetsChanged || out.Report != nil {
+	if out.Configuration != nil || out.TargetsChanged || out.Report != nil || out.Members != nil {
 		c.e.notifyData(ctx, dataMessage{
 			configuration: out.Configuration,
 			targets:       out.Targets,
 			targetsSet:    out.TargetsChanged,
 			report:        out.Report,
+			members:       out.Members,
 		})
 	}
 	c.logChanges(&out)
--- a/internal/hsdirect/core.go
+++ b/internal/hsdirect/core.go
@@ -2,11 +2,14 @@
 
 import (
 	"cmp"
+	"maps"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"heatherstack.org/heatherstack/internal/hsbudget"
 	"heatherstack.org/heatherstack/internal/hscode"
 	"heatherstack.org/heatherstack/internal/hsfeed"
 	"heatherstack.org/heatherstack/internal/hsroster"
@@ -57,6 +60,8 @@
 		Relist bool
 		// Load report received from a peer; nil if there is none.
 		Report *PeerReport
+		// Entry hosts that share the rates of targets in warm-up; nil if unchanged.
+		Members *hsbudget.View
 		// Result codes to count.
 		Codes []hscode.Code
 	}
@@ -97,7 +102,13 @@
 		merged map[uint64]bool
 		// When merged was last cleared.
 		mergedSince time.Time
-		out         Output
+		// Entry hosts heard of in the last minutes, dead ones included.
+		members *hsbudget.Members
+		// Availability zones of the listed targets, sorted.
+		targetZones []string
+		// When the peers that are alive were last added to members.
+		peersHeardAt time.Time
+		out          Output
 	}
 )
 
@@ -116,6 +127,9 @@
 	maxPeers = 4096
 	// minFetchInterval is the minimum time between two fetches.
 	minFetchInterval = 100 * time.Millisecond
+	// peersHeardInterval is the time between two records of the peers that are
+	// alive. Peers that die are remembered for minutes.
+	peersHeardInterval = 500 * time.Millisecond
 	// mergedTime is the maximum time for which a peer's state that had nothing to
 	// add is not fetched again.
 	mergedTime = 10 * time.Second
@@ -158,8 +172,23 @@
 // Peers returns all known peers, dead ones included.
 func (c *Core) Peers() []hsroster.Peer { return c.roster.Peers() }
 
+// MemberCount returns the number of entry hosts heard of in the last minutes, this
+// host included.
+func (c *Core) MemberCount() int {
+	if c.members == nil {
+		return 1
+	}
+	return c.members.Own()
+}
+
 // Start contacts the seeds.
-func (c *Core) Start(now time.Time) Output { return c.AddSeeds(now, c.cfg.Seeds) }
+func (c *Core) Start(now time.Time) Output {
+	c.members = hsbudget.NewMembers(now, c.self, c.cfg.Zone)
+	for _, s := range c.cfg.Seeds {
+		c.members.AddSeed(s.String())
+	}
+	return c.AddSeeds(now, c.cfg.Seeds)
+}
 
 // AddSeeds adds peers that are never removed, even if they are dead.
 func (c *Core) AddSeeds(now time.Time, seeds []netip.Addr) Output {
@@ -183,9 +212,31 @@
 		clear(c.merged)
 		c.mergedSince = now
 	}
+	c.updateMembers(now)
 	return c.takeOutput()
 }
 
+// updateMembers records which peers are alive and passes on the members if they
+// or their number changed. Members outlive the peers of the roster, which drops
+// dead ones: a host whose peers are dead or cut off must not take their shares.
+func (c *Core) updateMembers(now time.Time) {
+	if c.members == nil {
+		return
+	}
+	if now.Sub(c.peersHeardAt) >= peersHeardInterval {
+		c.peersHeardAt = now
+		for _, p := range c.roster.Peers() {
+			if p.Alive {
+				c.members.Hear(p.LastHeard, p.Name, p.Zone)
+			}
+		}
+	}
+	if v, changed := c.members.Update(now, c.targetZones); changed {
+		c.out.Members = &v
+	}
+	c.roster.SetHostCount(uint32(c.members.Own()))
+}
+
 // Leave announces the planned stop to peers and gives up the reader role if a
 // peer in the zone can take it over.
 func (c *Core) Leave(now time.Time) Output {
@@ -207,6 +258,9 @@
 		return c.takeOutput()
 	}
 	c.compareState(now, &out, hb, from)
+	if c.members != nil {
+		c.members.HearCount(now, hb.GetHosts())
+	}
 	switch hb.GetKind() {
 	case hsschema.Heartbeat_KIND_UPDATE:
 		if hb.GetUpdate() != nil {
@@ -314,6 +368,7 @@
 	if ch.Targets {
 		c.out.Targets = c.state.Targets()
 		c.out.TargetsChanged = true
+		c.targetZones = zonesOf(c.out.Targets)
 	}
 	if ch != (hsfeed.Change{}) {
 		clear(c.merged)
@@ -321,6 +376,15 @@
 	c.announceState()
 }
 
+// zonesOf returns the availability zones of targets, sorted.
+func zonesOf(targets []hsfeed.TargetRecord) []string {
+	zones := map[string]bool{}
+	for i := range targets {
+		zones[targets[i].Zone] = true
+	}
+	return slices.Sorted(maps.Keys(zones))
+}
+
 // announceState lets heartbeats carry the position and digest of the state.
 func (c *Core) announceState() {
 	p := c.state.Position()
--- a/internal/hsdirect/data.go
+++ b/internal/hsdirect/data.go
@@ -13,6 +13,7 @@
 	"github.com/juju/errors"
 	"github.com/phuslu/log"
 
+	"heatherstack.org/heatherstack/internal/hsbudget"
 	"heatherstack.org/heatherstack/internal/hscode"
 	"heatherstack.org/heatherstack/internal/hscookie"
 	"heatherstack.org/heatherstack/internal/hsfeed"
@@ -27,6 +28,7 @@
 		targets       []hsfeed.TargetRecord
 		targetsSet    bool
 		report        *PeerReport
+		members       *hsbudget.View
 		statusReply   chan<- DataStatus
 	}
 
@@ -37,8 +39,10 @@
 		Ejections uint64
 		// Opening packets that are held until a target has room.
 		HeldPackets int
-		Stats       hscookie.Stats
-		CodeCounts  map[hscode.Code]uint64
+		// Targets in warm-up whose new flows are limited.
+		LimitedTargets int
+		Stats          hscookie.Stats
+		CodeCounts     map[hscode.Code]uint64
 		// Durations in microseconds: from a flow's opening packet to the caller's
 		// next packet, from a request to its answer, and of whole flows.
 		AnswerTimes   *hdrhistogram.Histogram
@@ -89,6 +93,7 @@
 				UnlistedGracePeriod: e.cfg.Settings.unlistedGracePeriod(),
 				Seed:                xxhash.Sum64String(e.cfg.Settings.Name) ^ e.cfg.Boot,
 				LearnCapacity:       e.cfg.Settings.LearnCapacity,
+				Host:                e.cfg.Settings.DataAddr.Addr().String(),
 			},
 			MaxFlows:        maxFlows,
 			MaxFlowLifetime: e.cfg.Settings.MaxFlowLifetime,
@@ -202,8 +207,11 @@
 		d.core.ApplyReport(now, m.report.Host, m.report.Loads)
 		d.core.ApplyEjections(now, m.report.Ejected, m.report.EjectionDuration)
 	}
+	if m.members != nil {
+		d.core.SetMembers(m.members)
+	}
 	if m.statusReply != nil {
-		m.statusReply <- d.status()
+		m.statusReply <- d.status(now)
 	}
 	if !d.e.ready.Load() && d.core.Ready() {
 		d.e.ready.Store(true)
@@ -254,16 +262,17 @@
 	}
 }
 
-func (d *dataTask) status() DataStatus {
+func (d *dataTask) status(now time.Time) DataStatus {
 	st := DataStatus{
-		Flows:         d.core.FlowCount(),
-		HeldPackets:   d.core.HeldCount(),
-		Ejections:     d.flowLog.ejections,
-		Stats:         d.core.Stats,
-		CodeCounts:    map[hscode.Code]uint64{},
-		AnswerTimes:   hdrhistogram.Import(d.core.Durations.Answer.Export()),
-		ServiceTimes:  hdrhistogram.Import(d.core.Durations.Service.Export()),
-		FlowDurations: hdrhistogram.Import(d.core.Durations.Flow.Export()),
+		Flows:          d.core.FlowCount(),
+		HeldPackets:    d.core.HeldCount(),
+		LimitedTargets: d.core.LimitedTargets(now),
+		Ejections:      d.flowLog.ejections,
+		Stats:          d.core.Stats,
+		CodeCounts:     map[hscode.Code]uint64{},
+		AnswerTimes:    hdrhistogram.Import(d.core.Durations.Answer.Export()),
+		ServiceTimes:   hdrhistogram.Import(d.core.Durations.Service.Export()),
+		FlowDurations:  hdrhistogram.Import(d.core.Durations.Flow.Export()),
 	}
 	for code, n := range d.counts {
 		st.CodeCounts[code] += n
--- a/internal/hsdirect/metrics.go
+++ b/internal/hsdirect/metrics.go
@@ -53,9 +53,11 @@
 		uintMetric("flow_expired", s.Expired),
 		uintMetric("flow_reset", s.Resets),
 		uintMetric("flow_waited", s.Held),
+		uintMetric("flow_limited", s.Limited),
 		uintMetric("flow_waiting", uint64(d.HeldPackets)),
 		uintMetric("packet_forwarded", s.Forwarded),
 		uintMetric("target_ejected", d.Ejections),
+		uintMetric("target_limited", uint64(d.LimitedTargets)),
 		uintMetric("store_calls", c.StoreCalls),
 		uintMetric("store_failures", c.StoreFailures),
 		uintMetric("store_reader", boolToUint(c.StoreReader)),
@@ -67,6 +69,7 @@
 		uintMetric("state_age_ms", uint64(c.StateAge.Milliseconds())),
 		uintMetric("target_listed", uint64(c.Targets)),
 		uintMetric("peer_alive", uint64(c.AlivePeers)),
+		uintMetric("peer_members", uint64(c.Members)),
 	}
 	out = append(out, percentiles("answer_us", d.AnswerTimes)...)
 	out = append(out, percentiles("service_us", d.ServiceTimes)...)
--- a/internal/hsdirect/record.go
+++ b/internal/hsdirect/record.go
@@ -7,6 +7,7 @@
 
 	"heatherstack.org/heatherstack/internal/hscode"
 	"heatherstack.org/heatherstack/internal/hscookie"
+	"heatherstack.org/heatherstack/internal/hsplace"
 )
 
 // flowLogger logs decisions about flows, and ejections, at a limited rate.
@@ -51,6 +52,9 @@
 			Int("pool", v.Choice.PoolSize).
 			Int("ejected", v.Choice.EjectedCount)
 	}
+	if v.Choice.Exclusion != hsplace.NotExcluded {
+		line = line.Str("excluded", v.Choice.Exclusion.String())
+	}
 	line.Msg("flow decision")
 }
 
--- a/internal/hsplace/exclusion.go
+++ b/internal/hsplace/exclusion.go
@@ -49,6 +49,8 @@
 	switch {
 	case t.record.Draining:
 		return Draining
+	case t.allowance != nil && p.limited(now, t):
+		return WarmUpLimit
 	case !t.acceptsFlow(now):
 		return Ejected
 	case !t.zone.acceptsFlow(now):
--- a/internal/hsplace/place.go
+++ b/internal/hsplace/place.go
@@ -19,6 +19,7 @@
 	"slices"
 	"time"
 
+	"heatherstack.org/heatherstack/internal/hsbudget"
 	"heatherstack.org/heatherstack/internal/hscode"
 	"heatherstack.org/heatherstack/internal/hsfeed"
 )
@@ -36,6 +37,8 @@
 		Seed uint64
 		// See hsdirect.Settings.
 		LearnCapacity bool
+		// Name of this host, under which its peers know it; see hsbudget.
+		Host string
 	}
 
 	// Load is the load of one target by the flows of one host.
@@ -60,6 +63,9 @@
 		// excluded by an ejection.
 		PoolSize     int
 		EjectedCount int
+		// Reason for which no target was chosen, if all are excluded by reasons
+		// other than ejections.
+		Exclusion Exclusion
 	}
 
 	// Placer tracks the load and health of the targets as one entry host knows
@@ -72,7 +78,10 @@
 		pools map[string][]*target
 		// Services of the current configuration, by name.
 		services map[string]hsfeed.Service
-		reports  map[string]report
+		// This host's part of the flows that targets take during their warm-up
+		// time.
+		share   *hsbudget.Share
+		reports map[string]report
 		// By name. Zones are never removed, since there are few.
 		zones map[string]*zone
 		// Buffers of candidates.
@@ -95,6 +104,7 @@
 		// Time until which the target receives no new flows because another
 		// host of this zone has ejected it.
 		peerEjectedUntil time.Time
+		warmUp
 		health
 	}
 
@@ -136,6 +146,7 @@
 		rng:     rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
 		targets: map[hsfeed.TargetID]*target{},
 		pools:   map[string][]*target{},
+		share:   hsbudget.NewShare(cfg.Host),
 		reports: map[string]report{},
 		zones:   map[string]*zone{},
 	}
@@ -148,6 +159,7 @@
 		services[s.Name] = s
 	}
 	p.services = services
+	p.setWarmUps()
 }
 
 // SetTargets replaces the list of targets. The load and health of targets that
@@ -162,7 +174,7 @@
 		if t == nil || t.record.StartUnixMilli != record.StartUnixMilli {
 			t = &target{}
 		}
-		t.record = record
+		t.setRecord(record)
 		t.sameZone = record.Zone == p.cfg.Zone
 		t.zone = p.zone(record.Zone)
 		t.graceUntil = time.Time{}
@@ -205,6 +217,7 @@
 	for _, pool := range p.pools {
 		slices.SortFunc(pool, func(a, b *target) int { return cmp.Compare(a.record.ID, b.record.ID) })
 	}
+	p.setWarmUps()
 	p.sumReports()
 }
 
@@ -312,7 +325,7 @@
 	}
 	candidates, ejected := p.candidates(now, pool)
 	if len(candidates) == 0 {
-		return Choice{PoolSize: len(pool)}, p.codeOfExcluded(now, pool)
+		return p.allExcluded(now, pool)
 	}
 	best := p.lowest(candidates, func(t *target) float64 { return t.cost(now) })
 	if best.totalUtilization(now) > maxUtilization {
@@ -330,18 +343,19 @@
 	}
 	best.recordPlaced(now)
 	best.zone.recordPlaced(now)
+	best.useAllowance(now)
 	return ch, hscode.OK
 }
 
-// codeOfExcluded returns the result code for a new flow if all targets of a pool
-// are excluded by reasons other than ejections.
-func (p *Placer) codeOfExcluded(now time.Time, pool []*target) hscode.Code {
+// allExcluded returns the result for a new flow if all targets of a pool are
+// excluded by reasons other than ejections.
+func (p *Placer) allExcluded(now time.Time, pool []*target) (Choice, hscode.Code) {
 	for _, t := range pool {
 		if p.exclusion(now, t) == WarmUpLimit {
-			return hscode.FlowOverload
+			return Choice{PoolSize: len(pool), Exclusion: WarmUpLimit}, hscode.FlowOverload
 		}
 	}
-	return hscode.FlowEvacuated
+	return Choice{PoolSize: len(pool), Exclusion: Evacuated}, hscode.FlowEvacuated
 }
 
 // candidates returns the targets of a pool that are not excluded, and the number
@@ -394,6 +408,9 @@
 	if !t.sameZone {
 		c += otherZonePenalty
 	}
+	if t.warmUpTime > 0 {
+		c += slowStartPenalty * t.coldness(now)
+	}
 	return c
 }
 
--- /dev/null
+++ b/internal/hsplace/warmup.go
@@ -0,0 +1,107 @@
+package hsplace
+
+import (
+	"math"
+	"time"
+
+	"heatherstack.org/heatherstack/internal/hsbudget"
+	"heatherstack.org/heatherstack/internal/hsfeed"
+)
+
+// warmUp is the state of a target that concerns its warm-up time.
+type warmUp struct {
+	// Flows that this host may place on the target during its warm-up time; nil
+	// if they are not limited.
+	allowance *hsbudget.Allowance
+	// Warm-up time of the target's service; 0 if unknown.
+	warmUpTime time.Duration
+	// End of the warm-up time according to the list of targets. That in the
+	// target's record is later if the zone of the target was evacuated.
+	listedWarmUp time.Time
+}
+
+// slowStartPenalty is added to the cost of a target whose warm-up time begins,
+// and falls to 0 by its end. It is above otherZonePenalty by half of a target's
+// slots: a target of this zone that has just become cold gets flows once the
+// targets of other zones are half full. The load model (hsmodel, zone return)
+// shows the effect.
+const slowStartPenalty = 1.3
+
+// SetMembers sets the entry hosts that share the flows of targets in warm-up.
+func (p *Placer) SetMembers(v *hsbudget.View) { p.share.Set(v.Names, v.Count) }
+
+// UpcomingFlows returns the number of flows that this host may place on a
+// service's targets in warm-up from now until the given time, or a large number
+// if a target is not limited for all of that time. Nothing is placed on targets
+// that are excluded for other reasons.
+func (p *Placer) UpcomingFlows(now, until time.Time, service string) int {
+	n := 0
+	for _, t := range p.pools[service] {
+		switch e := p.exclusion(now, t); {
+		case e != NotExcluded && e != WarmUpLimit:
+		case t.allowance == nil || until.After(t.record.WarmUpUntil):
+			return math.MaxInt32
+		default:
+			n += t.allowance.Upcoming(now, until, p.share)
+		}
+	}
+	return n
+}
+
+// LimitedTargets returns the number of targets whose new flows are limited now.
+func (p *Placer) LimitedTargets(now time.Time) int {
+	n := 0
+	for _, t := range p.targets {
+		if t.allowance != nil && now.Before(t.record.WarmUpUntil) {
+			n++
+		}
+	}
+	return n
+}
+
+// limited reports whether the target is in warm-up and this host has used its
+// part of the flows that the target takes.
+func (p *Placer) limited(now time.Time, t *target) bool {
+	return now.Before(t.record.WarmUpUntil) && !t.allowance.Allows(now, p.share)
+}
+
+// useAllowance records that a flow is placed on the target.
+func (t *target) useAllowance(now time.Time) {
+	if t.allowance != nil && now.Before(t.record.WarmUpUntil) {
+		t.allowance.Use(now)
+	}
+}
+
+// setRecord replaces the target's record. The end of a warm-up time that began
+// with the end of an evacuation is kept if it is later.
+func (t *target) setRecord(record hsfeed.TargetRecord) {
+	listed := record.WarmUpUntil
+	if !t.record.WarmUpUntil.Equal(t.listedWarmUp) && t.record.WarmUpUntil.After(listed) {
+		record.WarmUpUntil = t.record.WarmUpUntil
+	}
+	t.record = record
+	t.listedWarmUp = listed
+}
+
+// setWarmUps applies the services' warm-up times and rates to all targets. The
+// allowance of a target whose rate is unchanged is kept.
+func (p *Placer) setWarmUps() {
+	for _, t := range p.targets {
+		s := p.services[t.record.Service]
+		t.warmUpTime = s.WarmUpTime
+		if next := hsbudget.NewAllowance(uint64(t.record.ID), s.WarmUpRate); next == nil || t.allowance == nil || next.Rate() != t.allowance.Rate() {
+			t.allowance = next
+		}
+	}
+}
+
+// coldness returns the part of the warm-up time that remains, for targets that
+// are limited or whose zone was evacuated, and 0 for others: these have the
+// capacity warmUpCapacity until their warm-up time ends.
+func (t *target) coldness(now time.Time) float64 {
+	if t.allowance == nil && t.record.WarmUpUntil.Equal(t.listedWarmUp) {
+		return 0
+	}
+	remaining := t.record.WarmUpUntil.Sub(now)
+	return min(max(remaining.Seconds()/t.warmUpTime.Seconds(), 0), 1)
+}
--- a/internal/hsqueue/queue.go
+++ b/internal/hsqueue/queue.go
@@ -77,15 +77,35 @@
 	if len(q.items) <= q.currentLimit {
 		return Item[T]{}, false
 	}
-	last := 0
+	return q.RemoveLast(now, func(*T) bool { return true })
+}
+
+// RemoveLast removes and returns the item that would be released last among those
+// for which match returns true, and false if there is none.
+func (q *Queue[T]) RemoveLast(now time.Time, match func(v *T) bool) (Item[T], bool) {
+	last := -1
 	for i := range q.items {
-		if releasedBefore(now, &q.items[last], &q.items[i]) {
+		if match(&q.items[i].Value) && (last < 0 || releasedBefore(now, &q.items[last], &q.items[i])) {
 			last = i
 		}
 	}
+	if last < 0 {
+		return Item[T]{}, false
+	}
 	return q.removeAt(last), true
 }
 
+// Count returns the number of items for which match returns true.
+func (q *Queue[T]) Count(match func(v *T) bool) int {
+	n := 0
+	for i := range q.items {
+		if match(&q.items[i].Value) {
+			n++
+		}
+	}
+	return n
+}
+
 // Find returns the first item for which match returns true, or nil. The pointer
 // is valid until items are added or removed.
 func (q *Queue[T]) Find(match func(v *T) bool) *Item[T] {
--- a/internal/hsroster/roster.go
+++ b/internal/hsroster/roster.go
@@ -124,7 +124,10 @@
 		loads         []*hsschema.Load
 		// True if this host reports that the store is unavailable to it.
 		storeUnavailable bool
-		out              Output
+		// Number of hosts that this host has heard of recently, itself included;
+		// 0 if unknown or unused.
+		hostCount uint32
+		out       Output
 	}
 
 	member struct {
@@ -340,6 +343,10 @@
 	r.historyDigest = digest
 }
 
+// SetHostCount sets the number of hosts that this host has heard of recently,
+// itself included, which heartbeats carry.
+func (r *Roster) SetHostCount(n uint32) { r.hostCount = n }
+
 // SetHistoryDigest sets the digest of this host's placement history, which
 // heartbeats carry.
 func (r *Roster) SetHistoryDigest(history uint64) {
