hsfeed: entries between hosts carry the remaining warm-up time

Ruled out: the entry's start and the time of day, since a target may announce a warm-up time long after its start, and clocks of hosts differ. Change: UpdateSince sends the part of the warm-up time that remains by the time that passed at the sender. Measured: TestWarmUpOfLateHost fails without the change (ends 10 s after the fetch), passes with it.

--- a/internal/hsfeed/replica.go
+++ b/internal/hsfeed/replica.go
@@ -28,6 +28,8 @@
 		// configuration.
 		log      []Event
 		logStart uint64
+		// Time of the last call of Apply or Tick.
+		now time.Time
 	}
 
 	// Change describes what an update changed in the state.
@@ -85,6 +87,7 @@
 // between the state and the update are missing, Apply returns PeerGap; the
 // caller then has to fetch them.
 func (r *Replica) Apply(now time.Time, u *Update) (Change, hscode.Code) {
+	r.now = now
 	p := Position{Era: cmp.Or(u.Era, r.position.Era), Revision: u.Revision}
 	var ch Change
 	r.applyConfigurations(u.Events, &ch)
@@ -131,6 +134,7 @@
 // Tick does the work that depends on time; see targetSet. Call it at least once
 // per second.
 func (r *Replica) Tick(now time.Time) Change {
+	r.now = now
 	var ch Change
 	r.targets.tick(now, r.position.Era, &ch)
 	return ch
@@ -138,7 +142,8 @@
 
 // UpdateSince returns the changes after a position, or the whole state if the
 // log does not reach back that far. An unknown era counts as the current one.
-// UpdateSince returns false if nothing changed.
+// Entries have the warm-up time that remains of the announced one. UpdateSince
+// returns false if nothing changed.
 func (r *Replica) UpdateSince(p Position) (Update, bool) {
 	p.Era = cmp.Or(p.Era, r.position.Era)
 	if p.Revision == 0 {
@@ -153,7 +158,7 @@
 	u := Update{Era: r.position.Era, Since: p.Revision, Revision: r.position.Revision}
 	for i := range r.log {
 		if r.log[i].Revision > p.Revision {
-			u.Events = append(u.Events, r.log[i])
+			u.Events = append(u.Events, r.targets.withRemainingWarmUp(r.now, r.log[i]))
 		}
 	}
 	return u, true
@@ -166,6 +171,9 @@
 		u.Events = append(u.Events, Event{Revision: r.position.Revision, Configuration: r.configuration})
 	}
 	u.Events = r.targets.appendEvents(u.Events, r.position.Era)
+	for i := range u.Events {
+		u.Events[i] = r.targets.withRemainingWarmUp(r.now, u.Events[i])
+	}
 	return u
 }
 
--- a/internal/hsfeed/replica_test.go
+++ b/internal/hsfeed/replica_test.go
@@ -172,6 +172,44 @@
 	assert.Equal(t, code, hscode.OK)
 }
 
+// TestWarmUpOfLateHost guards against a warm-up time that starts again at a host
+// that gets a target's entry late, as a whole state or as changes, also from a
+// host that got it late itself, and against an entry that is listed anew when it
+// arrives with the remaining time.
+func TestWarmUpOfLateHost(t *testing.T) {
+	const warmUp = 10 * time.Second
+	entry := newTarget(1, 2)
+	entry.WarmUp = warmUp
+	first := &Replica{}
+	apply(t, first, Update{Revision: 1, Events: []Event{{Revision: 1, Configuration: newConfiguration(1, "desk")}}}, hscode.OK)
+	apply(t, first, Update{Since: 1, Revision: 2, Events: []Event{{Revision: 2, Target: entry}}}, hscode.OK)
+	for _, since := range []Position{{}, {Revision: 1}} {
+		from, now := first, epoch
+		for range 3 {
+			now = now.Add(4 * time.Second)
+			from.Tick(now)
+			u, ok := from.UpdateSince(since)
+			assert.Assert(t, ok)
+			decoded, ok := FromProto(ToProto(&u))
+			assert.Assert(t, ok)
+			to := &Replica{}
+			apply(t, to, Update{Revision: 1, Events: []Event{{Revision: 1, Configuration: newConfiguration(1, "desk")}}}, hscode.OK)
+			_, code := to.Apply(now, &decoded)
+			assert.Equal(t, code, hscode.OK)
+			until := to.Targets()[0].WarmUpUntil
+			assert.Assert(t, !until.After(epoch.Add(warmUp)) || !until.After(now), "%v", until)
+			assert.Equal(t, to.Digest(), first.Digest())
+			from = to
+		}
+	}
+	// A clock that went back must not lengthen the time.
+	first.Tick(epoch.Add(-time.Hour))
+	u, _ := first.UpdateSince(Position{})
+	for _, ev := range u.Events {
+		assert.Assert(t, ev.Target == nil || ev.Target.WarmUp == warmUp)
+	}
+}
+
 // TestLogIsBounded checks that the log stays within its limit, and that a host
 // gets the whole state if it is further behind than the log reaches back.
 func TestLogIsBounded(t *testing.T) {
--- a/internal/hsfeed/targets.go
+++ b/internal/hsfeed/targets.go
@@ -51,6 +51,10 @@
 	// removalTime is the time for which a removal is known: longer than the age
 	// of a copy that the store may be restored from.
 	removalTime = 2 * time.Minute
+	// warmUpPrecision is the time that has to pass before an entry is sent with its
+	// remaining warm-up time. Entries that are relayed at once arrive unchanged, so
+	// that hosts agree on them.
+	warmUpPrecision = time.Second
 	// maxRemovals limits the known removals; further ones are not recorded.
 	maxRemovals   = 1 << 14
 	sweepInterval = time.Second
@@ -109,6 +113,26 @@
 	return dst
 }
 
+// withRemainingWarmUp returns the event for another host: if this host has known
+// the target's entry for some time, the entry has the warm-up time that remains,
+// so that it does not start again there. Only the time that has passed here is
+// used, not the clock of another machine. The remaining time is never longer than
+// the announced one.
+func (s *targetSet) withRemainingWarmUp(now time.Time, ev Event) Event {
+	if ev.Target == nil || ev.Target.WarmUp == 0 {
+		return ev
+	}
+	record, ok := s.records[ev.Target.ID]
+	remaining := max(record.WarmUpUntil.Sub(now), 0)
+	if !ok || record.StartUnixMilli != ev.Target.StartUnixMilli || record.WarmUp != ev.Target.WarmUp || ev.Target.WarmUp-remaining < warmUpPrecision {
+		return ev
+	}
+	entry := *ev.Target
+	entry.WarmUp = remaining
+	ev.Target = &entry
+	return ev
+}
+
 // enterEra records that this host has entered another era of the store.
 func (s *targetSet) enterEra(now time.Time) {
 	s.eraSince = now
