--- a/internal/hsbudget/members.go
+++ b/internal/hsbudget/members.go
@@ -160,10 +160,11 @@
 	m.rotate(now)
 	m.sweep(now)
 	count := max(m.withMissingZones(zones), m.peerCount, m.lastPeerCount)
+	growing := m.growing(now, count)
 	if m.isolated(now, count) {
 		count = max(count, isolatedCount)
 	}
-	if m.growing(now, count) {
+	if growing {
 		count = max(unsettledCount, unsettledFactor*count)
 	}
 	count = min(max(count, m.Own()), MaxCount)
