--- a/internal/hsbudget/members.go
+++ b/internal/hsbudget/members.go
@@ -30,6 +30,12 @@
 		stale bool
 		// Time of the last removal of hosts that were not heard of for memberTime.
 		lastSweep time.Time
+		// Number of other members that answer now.
+		alive int
+		// True once this host has had contact with nearly all members that it had
+		// heard of, while their number did not grow: what it knows then is not the
+		// part of the members that it is cut off with.
+		complete bool
 		// Seeds that this process has never heard of.
 		silentSeeds map[string]bool
 		// Largest count that a peer has sent in the current and in the previous
@@ -139,6 +145,9 @@
 	}
 }
 
+// SetAlive sets the number of other members that answer now.
+func (m *Members) SetAlive(n int) { m.alive = n }
+
 // HearCount records the number of members that a peer has sent: the hosts that it
 // has itself heard of. Counts of different peers and times are compared by size
 // only. One that is lower than before, zero, late or repeated has no effect, and
@@ -161,7 +170,7 @@
 	m.sweep(now)
 	count := max(m.withMissingZones(zones), m.peerCount, m.lastPeerCount)
 	growing := m.growing(now, count)
-	if m.isolated(now, count) {
+	if m.isolated(now, growing) {
 		count = max(count, isolatedCount)
 	}
 	if growing {
@@ -205,10 +214,17 @@
 	}
 }
 
-// isolated reports whether this host may have started while it was cut off: some
-// of the seeds were never heard of, also not by the peer that counts most.
-func (m *Members) isolated(now time.Time, count int) bool {
-	return now.Sub(m.started) < memberTime && count < m.Own()+len(m.silentSeeds)
+// isolated reports whether this host may have started while it was cut off, or
+// just before: it has not been complete since, because it never heard of some
+// seed, or a noticeable part of the members does not answer. After memberTime,
+// these count as removed. The counts of peers are no evidence that it knows all:
+// they may be cut off together with it.
+func (m *Members) isolated(now time.Time, growing bool) bool {
+	missing := len(m.heard) - m.alive
+	if !growing && len(m.silentSeeds) == 0 && missing <= m.Own()/growthDivisor {
+		m.complete = true
+	}
+	return !m.complete && now.Sub(m.started) < memberTime
 }
 
 // growing reports whether this host has just started or the number of members
--- a/internal/hsdirect/core.go
+++ b/internal/hsdirect/core.go
@@ -225,11 +225,14 @@
 	}
 	if now.Sub(c.peersHeardAt) >= peersHeardInterval {
 		c.peersHeardAt = now
+		alive := 0
 		for _, p := range c.roster.Peers() {
 			if p.Alive {
+				alive++
 				c.members.Hear(p.LastHeard, p.Name, p.Zone)
 			}
 		}
+		c.members.SetAlive(alive)
 	}
 	if v, changed := c.members.Update(now, c.targetZones); changed {
 		c.out.Members = &v
--- a/internal/hsroster/message.go
+++ b/internal/hsroster/message.go
@@ -260,6 +260,7 @@
 		Zone:    r.cfg.Zone,
 		Refused: r.storeUnavailable,
 		Era:     r.era,
+		Hosts:   r.hostCount,
 	}
 	// Acks carry no loads, since the pings of this host already do.
 	if kind == hsschema.Heartbeat_KIND_PING {
