--- a/internal/hsmodel/endpoints.go
+++ b/internal/hsmodel/endpoints.go
@@ -59,6 +59,7 @@
 		busySlots int
 		queue     []*attempt
 		served    int
+		cold
 	}
 )
 
@@ -222,6 +223,7 @@
 	if t.unresponsive && t.sim.inBurst() {
 		return
 	}
+	t.countOpening()
 	t.sim.schedule(2*oneWayDelay, func() {
 		if a.opened || a.ended || a.c.done {
 			return
@@ -257,7 +259,7 @@
 func (t *target) run(a *attempt) {
 	t.busySlots++
 	t.served++
-	t.sim.schedule(a.c.workTime, func() {
+	t.sim.schedule(t.workTime(a.c.workTime), func() {
 		t.busySlots--
 		t.sim.schedule(oneWayDelay, func() { a.received(t) })
 		if len(t.queue) > 0 {
--- a/internal/hsmodel/model.go
+++ b/internal/hsmodel/model.go
@@ -63,6 +63,7 @@
 		// True if the routers change in the middle of the load, which moves all
 		// kept flows to other hosts.
 		RouterChange bool
+		Cold         ColdConfig
 	}
 
 	// Result counts the outcomes of requests: Asked is the number of requests,
@@ -82,6 +83,10 @@
 		// Ratio of the maximum to the mean number of requests that a target
 		// ran.
 		Imbalance float64
+		// Opening packets above the bound of their target in warm-up.
+		ColdViolations int `json:",omitempty"`
+		// Flows on targets in warm-up, as a part of what they take.
+		ColdUsed float64 `json:",omitempty"`
 	}
 
 	// event is an action that is scheduled for a time; seq orders events of the
@@ -188,6 +193,7 @@
 		result:  Result{Policy: cfg.Policy.Name},
 	}
 	sim.build()
+	sim.scheduleReturn()
 	sim.scheduleOutage()
 	sim.schedulePlannedWork()
 	sim.schedule(0, sim.startRequest)
@@ -315,6 +321,7 @@
 		maximum = max(maximum, t.served)
 		total += t.served
 	}
+	sim.summarizeCold(&r)
 	r.Imbalance = float64(maximum*len(sim.targets)) / float64(max(total, 1))
 	return r
 }
--- a/internal/hsmodel/policy.go
+++ b/internal/hsmodel/policy.go
@@ -126,14 +126,15 @@
 		return
 	}
 	h.core = hscookie.New(hscookie.Config{
-		Placement:       hsplace.Config{Zone: zoneName(h.zone), Seed: sim.cfg.Seed + uint64(h.index)},
+		Placement:       hsplace.Config{Zone: zoneName(h.zone), Seed: sim.cfg.Seed + uint64(h.index), Host: hostName(h.index)},
 		MaxFlows:        1 << 16,
 		MaxFlowLifetime: time.Minute,
 		StartTime:       clockTime(since),
 	})
 	h.core.SetConfiguration(clockTime(0), &hsfeed.Configuration{Version: 1, Routes: []hsfeed.Route{{
 		Address: serviceAddr, Shares: []hsfeed.Share{{Service: "desk", Weight: 1}}, LatencyObjective: sim.cfg.LatencyObjective, Timeout: sim.cfg.Deadline,
-	}}})
+	}}, Services: sim.cfg.Cold.services()})
+	h.core.SetMembers(sim.members())
 	h.targetsChanged()
 }
 
@@ -152,9 +153,12 @@
 	}
 	records := make([]hsfeed.TargetRecord, 0, len(h.sim.targets))
 	for _, t := range h.sim.targets {
+		if t.absent {
+			continue
+		}
 		records = append(records, hsfeed.TargetRecord{Target: hsfeed.Target{
 			ID: hsfeed.TargetID(t.id), Service: "desk", Zone: zoneName(t.zone), Slots: h.sim.cfg.Slots, Draining: t.left,
-		}})
+		}, WarmUpUntil: clockTime(t.until)})
 	}
 	h.core.SetTargets(clockTime(h.sim.now), records)
 }
