--- a/internal/hsplace/place.go
+++ b/internal/hsplace/place.go
@@ -408,7 +408,7 @@
 	if !t.sameZone {
 		c += otherZonePenalty
 	}
-	if t.warmUpTime > 0 {
+	if t.slowStart > 0 {
 		c += slowStartPenalty * t.coldness(now)
 	}
 	return c
--- a/internal/hsplace/warmup.go
+++ b/internal/hsplace/warmup.go
@@ -13,8 +13,11 @@
 	// Flows that this host may place on the target during its warm-up time; nil
 	// if they are not limited.
 	allowance *hsbudget.Allowance
-	// Warm-up time of the target's service; 0 if unknown.
-	warmUpTime time.Duration
+	// Time over which the cost of the target falls during its warm-up time: the
+	// warm-up time of its service. 0 for targets that are not limited and whose
+	// zone was not evacuated: these have the capacity warmUpCapacity until their
+	// warm-up time ends.
+	slowStart time.Duration
 	// End of the warm-up time according to the list of targets. That in the
 	// target's record is later if the zone of the target was evacuated.
 	listedWarmUp time.Time
@@ -83,25 +86,25 @@
 	t.listedWarmUp = listed
 }
 
-// setWarmUps applies the services' warm-up times and rates to all targets. The
-// allowance of a target whose rate is unchanged is kept.
+// setWarmUps applies the services' warm-up times and rates to all targets, and has
+// to be called after the end of a target's warm-up time was changed. The allowance
+// of a target whose rate is unchanged is kept.
 func (p *Placer) setWarmUps() {
 	for _, t := range p.targets {
 		s := p.services[t.record.Service]
-		t.warmUpTime = s.WarmUpTime
 		if next := hsbudget.NewAllowance(uint64(t.record.ID), s.WarmUpRate); next == nil || t.allowance == nil || next.Rate() != t.allowance.Rate() {
 			t.allowance = next
 		}
+		t.slowStart = 0
+		if t.allowance != nil || !t.record.WarmUpUntil.Equal(t.listedWarmUp) {
+			t.slowStart = s.WarmUpTime
+		}
 	}
 }
 
-// coldness returns the part of the warm-up time that remains, for targets that
-// are limited or whose zone was evacuated, and 0 for others: these have the
-// capacity warmUpCapacity until their warm-up time ends.
+// coldness returns the part of the time slowStart that remains of the target's
+// warm-up time.
 func (t *target) coldness(now time.Time) float64 {
-	if t.allowance == nil && t.record.WarmUpUntil.Equal(t.listedWarmUp) {
-		return 0
-	}
 	remaining := t.record.WarmUpUntil.Sub(now)
-	return min(max(remaining.Seconds()/t.warmUpTime.Seconds(), 0), 1)
+	return min(max(remaining.Seconds()/t.slowStart.Seconds(), 0), 1)
 }
