--- a/internal/hsbudget/explore_test.go
+++ b/internal/hsbudget/explore_test.go
@@ -111,12 +111,11 @@
 	return e
 }
 
-func (e *exploration) add() *exploredHost {
+func (e *exploration) add() {
 	h := &exploredHost{name: fmt.Sprintf("host%d", len(e.hosts)), zone: len(e.hosts) % max(len(e.zones), 1)}
 	e.hosts = append(e.hosts, h)
 	h.offset = time.Duration(e.rng.Int64N(int64(2*maxClockSkew))) - maxClockSkew
 	e.start(h)
-	return h
 }
 
 // start starts the process of a host, without state.
@@ -283,11 +282,11 @@
 
 // record records a flow that is placed on a target now.
 func (e *exploration) record(i int) {
-	list := append(e.placed[i], e.now)
-	for list[0] <= e.now-time.Second {
-		list = list[1:]
+	e.placed[i] = append(e.placed[i], e.now)
+	for e.placed[i][0] <= e.now-time.Second {
+		e.placed[i] = e.placed[i][1:]
 	}
-	e.placed[i] = list
+	list := e.placed[i]
 	e.total[i]++
 	e.worst[i] = max(e.worst[i], len(list))
 	if bound := exploredRates[i]*exploredOverage + exploredSlack; float64(len(list)) > bound && e.violation == "" {
--- a/internal/hsmodel/shares.go
+++ b/internal/hsmodel/shares.go
@@ -241,11 +241,11 @@
 			continue
 		}
 		r.Placed++
-		list := append(placed[target], now)
-		for list[0] <= now-time.Second {
-			list = list[1:]
+		placed[target] = append(placed[target], now)
+		for placed[target][0] <= now-time.Second {
+			placed[target] = placed[target][1:]
 		}
-		placed[target] = list
+		list := placed[target]
 		r.WorstSecond = max(r.WorstSecond, len(list))
 		if float64(len(list)) > cfg.Rate*shareOverage+shareSlack {
 			r.Violations++
