--- a/internal/hsdirect/control.go
+++ b/internal/hsdirect/control.go
@@ -52,7 +52,9 @@
 		Evacuations     []hsfeed.EvacuationRecord
 		EvacuationCount uint64
 		// Peers that are considered alive.
-		AlivePeers  int
+		AlivePeers int
+		// Entry hosts heard of in the last minutes, this host included.
+		Members     int
 		StoreReader bool
 		// Calls to the store, and how many of them failed.
 		StoreCalls    uint64
@@ -201,6 +203,7 @@
 
 		EvacuationCount: c.evacuationCount,
 	}
+	st.Members = c.core.MemberCount()
 	if cfg := state.Configuration(); cfg != nil {
 		st.ConfigurationVersion = cfg.Version
 	}
@@ -222,7 +225,7 @@
 
 // applyOutput performs the actions that the core returned.
 func (c *controller) applyOutput(ctx context.Context, out Output) {
-	if out.Configuration != nil || out.TargetsChanged || out.EvacuationsChanged || out.Report != nil || out.Store != nil || out.CutOffChanged {
+	if out.Configuration != nil || out.TargetsChanged || out.EvacuationsChanged || out.Report != nil || out.Store != nil || out.CutOffChanged || out.Members != nil {
 		c.e.notifyData(ctx, dataMessage{
 			configuration: out.Configuration,
 			targets:       out.Targets,
@@ -233,6 +236,7 @@
 			store:         out.Store,
 			cutOff:        out.CutOff,
 			cutOffSet:     out.CutOffChanged,
+			members:       out.Members,
 		})
 	}
 	c.logChanges(&out)
--- a/internal/hsdirect/data.go
+++ b/internal/hsdirect/data.go
@@ -13,6 +13,7 @@
 	"github.com/juju/errors"
 	"github.com/phuslu/log"
 
+	"heatherstack.org/heatherstack/internal/hsbudget"
 	"heatherstack.org/heatherstack/internal/hscode"
 	"heatherstack.org/heatherstack/internal/hscookie"
 	"heatherstack.org/heatherstack/internal/hsfeed"
@@ -36,6 +37,7 @@
 		// Whether this host is cut off; valid if cutOffSet.
 		cutOff    bool
 		cutOffSet bool
+		members   *hsbudget.View
 	}
 
 	// DataStatus is the data task's part of the metrics.
@@ -47,8 +49,10 @@
 		LostTargets uint64
 		// Opening packets that are held until a target has room.
 		HeldPackets int
-		Stats       hscookie.Stats
-		CodeCounts  map[hscode.Code]uint64
+		// Targets in warm-up whose new flows are limited.
+		LimitedTargets int
+		Stats          hscookie.Stats
+		CodeCounts     map[hscode.Code]uint64
 		// Durations in microseconds: from a flow's opening packet to the caller's
 		// next packet, from a request to its answer, and of whole flows.
 		AnswerTimes   *hdrhistogram.Histogram
@@ -99,6 +103,7 @@
 				UnlistedGracePeriod: e.cfg.Settings.unlistedGracePeriod(),
 				Seed:                xxhash.Sum64String(e.cfg.Settings.Name) ^ e.cfg.Boot,
 				LearnCapacity:       e.cfg.Settings.LearnCapacity,
+				Host:                e.cfg.Settings.DataAddr.Addr().String(),
 			},
 			MaxFlows:        maxFlows,
 			MaxFlowLifetime: e.cfg.Settings.MaxFlowLifetime,
@@ -226,8 +231,11 @@
 		d.core.ApplyReport(now, m.report.Host, m.report.Loads)
 		d.core.ApplyEjections(now, m.report.Ejected, m.report.EjectionDuration)
 	}
+	if m.members != nil {
+		d.core.SetMembers(m.members)
+	}
 	if m.statusReply != nil {
-		m.statusReply <- d.status()
+		m.statusReply <- d.status(now)
 	}
 	if m.zonesReply != nil {
 		m.zonesReply <- d.core.ZoneLoads()
@@ -281,17 +289,18 @@
 	}
 }
 
-func (d *dataTask) status() DataStatus {
+func (d *dataTask) status(now time.Time) DataStatus {
 	st := DataStatus{
-		Flows:         d.core.FlowCount(),
-		HeldPackets:   d.core.HeldCount(),
-		Ejections:     d.flowLog.ejections,
-		LostTargets:   d.flowLog.lostTargets,
-		Stats:         d.core.Stats,
-		CodeCounts:    map[hscode.Code]uint64{},
-		AnswerTimes:   hdrhistogram.Import(d.core.Durations.Answer.Export()),
-		ServiceTimes:  hdrhistogram.Import(d.core.Durations.Service.Export()),
-		FlowDurations: hdrhistogram.Import(d.core.Durations.Flow.Export()),
+		LostTargets:    d.flowLog.lostTargets,
+		Flows:          d.core.FlowCount(),
+		HeldPackets:    d.core.HeldCount(),
+		LimitedTargets: d.core.LimitedTargets(now),
+		Ejections:      d.flowLog.ejections,
+		Stats:          d.core.Stats,
+		CodeCounts:     map[hscode.Code]uint64{},
+		AnswerTimes:    hdrhistogram.Import(d.core.Durations.Answer.Export()),
+		ServiceTimes:   hdrhistogram.Import(d.core.Durations.Service.Export()),
+		FlowDurations:  hdrhistogram.Import(d.core.Durations.Flow.Export()),
 	}
 	for code, n := range d.counts {
 		st.CodeCounts[code] += n
--- a/internal/hsdirect/metrics.go
+++ b/internal/hsdirect/metrics.go
@@ -55,9 +55,11 @@
 		uintMetric("flow_reset_reused", s.ReusedResets),
 		uintMetric("flow_reset_missing", s.MissingResets),
 		uintMetric("flow_waited", s.Held),
+		uintMetric("flow_limited", s.Limited),
 		uintMetric("flow_waiting", uint64(d.HeldPackets)),
 		uintMetric("packet_forwarded", s.Forwarded),
 		uintMetric("target_ejected", d.Ejections),
+		uintMetric("target_limited", uint64(d.LimitedTargets)),
 		uintMetric("store_calls", c.StoreCalls),
 		uintMetric("store_failures", c.StoreFailures),
 		uintMetric("store_reader", boolToUint(c.StoreReader)),
@@ -72,6 +74,7 @@
 		uintMetric("zone_evacuated", uint64(len(c.Evacuations))),
 		uintMetric("zone_evacuations", c.EvacuationCount),
 		uintMetric("peer_alive", uint64(c.AlivePeers)),
+		uintMetric("peer_members", uint64(c.Members)),
 	}
 	out = append(out, percentiles("answer_us", d.AnswerTimes)...)
 	out = append(out, percentiles("service_us", d.ServiceTimes)...)
--- a/internal/hsplace/evacuation.go
+++ b/internal/hsplace/evacuation.go
@@ -22,6 +22,7 @@
 		z.evacuated = evacuated[name]
 	}
 	p.evacuated = evacuated
+	p.setWarmUps()
 }
 
 // IsEvacuated reports whether a zone is being evacuated.
--- a/internal/hsplace/exclusion.go
+++ b/internal/hsplace/exclusion.go
@@ -51,6 +51,8 @@
 		return Draining
 	case t.zone.evacuated:
 		return Evacuated
+	case t.allowance != nil && p.limited(now, t):
+		return WarmUpLimit
 	case !t.acceptsFlow(now):
 		return Ejected
 	case !t.zone.acceptsFlow(now):
