hslimit, hsqueue, hscookie: limits of requests in progress under capacity shortage

Change: with LearnCapacity, each host limits its requests in progress by service and zone between bounds from its share of the slots, by its demand and the ratio of the time in service to that in calm; places of possible rejections stay taken; routes of the same priority are released in turn, less urgent ones keep a tenth, and what cannot be served is refused at once. The model plays several routes with reports in turn.

--- a/internal/hscookie/admit.go
+++ b/internal/hscookie/admit.go
@@ -7,6 +7,8 @@
 
 	"heatherstack.org/heatherstack/internal/hscode"
 	"heatherstack.org/heatherstack/internal/hsflow"
+	"heatherstack.org/heatherstack/internal/hslimit"
+	"heatherstack.org/heatherstack/internal/hsplace"
 	"heatherstack.org/heatherstack/internal/hsqueue"
 )
 
@@ -69,12 +71,21 @@
 	if c.held.Find(func(old *heldPacket) bool { return old.key == h.key }) != nil {
 		return v
 	}
+	if c.limits != nil {
+		c.limits.AddDemand(h.service)
+	}
 	it := newItem(now, r, h)
-	if c.held.Len() == 0 || it.MeetsDeadline(now) {
+	if c.tryAtOnce(now, &it) {
 		if v = c.placeItem(now, &it); v.Action != Hold {
+			if c.limits != nil && v.Action == Forward {
+				c.held.CountReleased(it.Route, it.Priority)
+			}
 			return v
 		}
 	}
+	if c.limits != nil && !it.MeetsDeadline(now) {
+		return Verdict{Action: Refuse, Code: hscode.FlowOverload, Choice: v.Choice}
+	}
 	if len(h.packet.Raw) > maxHeldPacketSize {
 		return Verdict{Action: Refuse, Code: hscode.FlowOverload, Choice: v.Choice}
 	}
@@ -84,6 +95,16 @@
 	return v
 }
 
+// tryAtOnce reports whether a new flow may be placed before those that are held.
+// With limits of requests in progress, the queue decides who is next whenever
+// flows to the service are held.
+func (c *Core) tryAtOnce(now time.Time, it *hsqueue.Item[heldPacket]) bool {
+	if c.limits != nil {
+		return c.held.CountHeld(it.Route.Service) == 0
+	}
+	return c.held.Len() == 0 || it.MeetsDeadline(now)
+}
+
 func newItem(now time.Time, r *knownRoute, h *heldPacket) hsqueue.Item[heldPacket] {
 	firstSent := now.Add(-transmitTimes[min(int(h.packet.Retransmits), len(transmitTimes)-1)])
 	maxWait := r.LatencyObjective - time.Duration(processingFraction*float64(r.LatencyObjective))
@@ -92,6 +113,7 @@
 		Deadline:  firstSent.Add(maxWait),
 		AbandonAt: firstSent.Add(attemptTimeout - attemptMargin),
 		Priority:  r.Priority,
+		Route:     hsqueue.Route{Service: h.service, Address: h.packet.To},
 		Value:     *h,
 	}
 }
@@ -114,7 +136,7 @@
 func (c *Core) placeItem(now time.Time, it *hsqueue.Item[heldPacket]) Verdict {
 	limit := c.maxUtilization(now, it)
 	h := &it.Value
-	ch, code := c.placer.Choose(now, h.service, limit)
+	ch, code := c.choose(now, h.service, limit)
 	switch code {
 	case hscode.OK:
 	case hscode.FlowOverload:
@@ -130,6 +152,22 @@
 	return Verdict{Action: Forward, To: d.address, Target: ch.Target, Cookie: d.cookie, Placed: true, Choice: ch}
 }
 
+// choose chooses the target of a new flow among those in zones for which this
+// host's requests in progress are below their limit.
+func (c *Core) choose(now time.Time, service string, maxUtilization float64) (hsplace.Choice, hscode.Code) {
+	if c.limits == nil {
+		return c.placer.Choose(now, service, maxUtilization)
+	}
+	allows := func(zone string) bool {
+		return c.limits.Allows(now, hslimit.Key{Service: service, Zone: zone})
+	}
+	ch, code := c.placer.ChooseWithin(now, service, maxUtilization, allows)
+	if code == hscode.FlowOverload && maxUtilization > maxLateUtilization && ch.Target != 0 {
+		return c.placer.ChooseWithin(now, service, math.Inf(1), allows)
+	}
+	return ch, code
+}
+
 // Release removes and returns the next held packet that can be forwarded or is
 // refused, with its verdict, and false if there is none.
 func (c *Core) Release(now time.Time) (Packet, Verdict, bool) {
@@ -141,17 +179,28 @@
 	}
 	full := map[string]bool{}
 	for {
-		it := c.held.Next(now, func(it *hsqueue.Item[heldPacket]) bool { return !full[it.Value.service] })
+		it := c.held.Next(now, func(it *hsqueue.Item[heldPacket]) bool {
+			return !full[it.Value.service] || (c.limits != nil && !it.MeetsDeadline(now))
+		})
 		if it == nil {
 			return Packet{}, Verdict{}, false
 		}
 		v := c.decideHeld(now, it)
+		if v.Action == Hold && c.limits != nil && !it.MeetsDeadline(now) {
+			// The flow would only get a place after those that can still meet
+			// their objective, while its caller waits.
+			v.Action = Refuse
+		}
 		if v.Action == Hold {
 			full[it.Value.service] = true
 			continue
 		}
 		p := it.Value.packet
-		c.held.Remove(it)
+		if c.limits != nil && v.Action == Forward {
+			c.held.RemoveReleased(it)
+		} else {
+			c.held.Remove(it)
+		}
 		return p, c.countVerdict(v), true
 	}
 }
@@ -180,6 +229,9 @@
 	c.rateMeasuredAt = now
 	c.placedAtMeasurement = c.Stats.Placed
 	c.held.SetReleaseRate(c.rate, attemptTimeout-attemptMargin)
+	if c.limits != nil {
+		c.held.MeasureRates(elapsed)
+	}
 }
 
 // DropHeld drops all held packets. Their callers retransmit them.
--- a/internal/hscookie/core.go
+++ b/internal/hscookie/core.go
@@ -9,6 +9,7 @@
 	"heatherstack.org/heatherstack/internal/hscode"
 	"heatherstack.org/heatherstack/internal/hsfeed"
 	"heatherstack.org/heatherstack/internal/hsflow"
+	"heatherstack.org/heatherstack/internal/hslimit"
 	"heatherstack.org/heatherstack/internal/hsplace"
 	"heatherstack.org/heatherstack/internal/hsqueue"
 )
@@ -90,6 +91,8 @@
 		targets targets
 		flows   *hsflow.Table[flow]
 		held    *hsqueue.Queue[heldPacket]
+		// Nil unless Config.LearnCapacity.
+		limits *hslimit.Limiter
 		// Flows placed per second, and the time and Stats.Placed at the last
 		// measurement.
 		rate                float64
@@ -140,14 +143,18 @@
 
 // New returns a core without routes and targets.
 func New(cfg Config) *Core {
-	return &Core{
+	c := &Core{
 		cfg:        cfg,
 		placer:     hsplace.New(cfg.Placement),
 		flows:      hsflow.NewTable[flow](),
-		held:       hsqueue.New[heldPacket](hsqueue.Config{MaxItems: maxHeldPackets}),
+		held:       hsqueue.New[heldPacket](hsqueue.Config{MaxItems: maxHeldPackets, Even: cfg.LearnCapacity}),
 		CodeCounts: map[hscode.Code]uint64{},
 		Durations:  Durations{Answer: newHistogram(), Flow: newHistogram(), Service: newHistogram()},
 	}
+	if cfg.LearnCapacity {
+		c.limits = hslimit.New(cfg.Placement.Seed)
+	}
+	return c
 }
 
 func newHistogram() *hdrhistogram.Histogram {
@@ -164,6 +171,34 @@
 func (c *Core) SetTargets(now time.Time, list []hsfeed.TargetRecord) {
 	c.targets.setTargets(now, list, c.cfg.MaxFlowLifetime)
 	c.placer.SetTargets(now, list)
+	if c.limits == nil {
+		return
+	}
+	slots := map[hslimit.Key]int{}
+	for i := range list {
+		if r := &list[i]; !r.Draining {
+			slots[hslimit.Key{Service: r.Service, Zone: r.Zone}] += r.Slots
+		}
+	}
+	c.limits.SetSlots(slots)
+	c.targets.setPools(list, c.limits)
+}
+
+// SetHostCount sets the number of hosts of the deployment, 0 if it is unknown.
+// It is used with Config.LearnCapacity only.
+func (c *Core) SetHostCount(n int) {
+	if c.limits != nil {
+		c.limits.SetHostCount(n)
+	}
+}
+
+// LimitState returns the state of this host's limit of requests in progress at a
+// service; zero without Config.LearnCapacity.
+func (c *Core) LimitState(service string) hslimit.State {
+	if c.limits == nil {
+		return hslimit.State{}
+	}
+	return c.limits.State(service)
 }
 
 // ApplyReport applies another host's report of its loads, which replaces the
@@ -283,6 +318,9 @@
 	c.placer.Tick(now)
 	c.dropAbandoned(now)
 	c.measureRate(now)
+	if c.limits != nil {
+		c.limits.Tick(now)
+	}
 	if now.Sub(c.lastSweep) >= sweepInterval {
 		c.lastSweep = now
 		c.sweep(now)
--- a/internal/hscookie/flow.go
+++ b/internal/hscookie/flow.go
@@ -7,6 +7,7 @@
 
 	"heatherstack.org/heatherstack/internal/hsfeed"
 	"heatherstack.org/heatherstack/internal/hsflow"
+	"heatherstack.org/heatherstack/internal/hslimit"
 )
 
 type (
@@ -42,6 +43,10 @@
 		busy bool
 		// True if the data of the request in progress has passed this host.
 		requestSeen bool
+		// True while the request in progress is the first one of the flow.
+		opening bool
+		// Limit that counts the request in progress; nil if there is none.
+		pool *hslimit.Pool
 	}
 
 	// pauses measures how often callers send a further request on an idle flow
@@ -104,6 +109,7 @@
 	f.opened = true
 	f.openSeq = p.Seq
 	f.unanswered = true
+	f.opening = true
 	c.startRequest(f, f.firstSeen)
 	c.unanswered.push(openingFlow{key: *key, hash: hash, openedAt: now})
 	return f
@@ -204,6 +210,10 @@
 		c.removeLoad(f)
 		f.busy = true
 		c.placer.AddRequest(f.target)
+		if d := c.targets.byID[f.target]; c.limits != nil && d != nil && d.pool != nil {
+			f.pool = d.pool
+			f.pool.Begin(f.opening)
+		}
 	}
 	f.requestSeen = false
 	f.since = at
@@ -218,6 +228,9 @@
 	if f.requestSeen {
 		c.avgServiceTime += time.Duration(serviceTimeWeight * float64(at-f.since-c.avgServiceTime))
 		recordDuration(c.Durations.Service, at-f.since)
+		if f.pool != nil {
+			f.pool.Record(c.cfg.StartTime.Add(at), at-f.since, &r.calm)
+		}
 	}
 	c.removeLoad(f)
 	f.since = at
@@ -234,7 +247,13 @@
 
 // requestTimeout returns the time without packets after which a request no
 // longer counts as in progress.
+//
+// With limits of requests in progress, it is the upper limit: requests that wait
+// in the queues of targets must not be forgotten when most are in progress.
 func (c *Core) requestTimeout() time.Duration {
+	if c.limits != nil {
+		return maxRequestTimeout
+	}
 	return min(max(requestFactor*c.avgServiceTime, minRequestTimeout), maxRequestTimeout)
 }
 
@@ -243,6 +262,8 @@
 	if f.busy {
 		f.busy = false
 		c.placer.RemoveRequest(f.target)
+		c.leavePool(f)
+		f.opening = false
 	}
 	if f.expected != 0 {
 		c.placer.AddExpected(f.target, -float64(f.expected))
@@ -250,6 +271,14 @@
 	}
 }
 
+// leavePool ends the flow's request in progress in its limit, if there is one.
+func (c *Core) leavePool(f *flow) {
+	if f.pool != nil {
+		f.pool.End(f.opening)
+		f.pool = nil
+	}
+}
+
 func (c *Core) removeFlow(key *hsflow.Key, hash uint64, f *flow) {
 	c.removeLoad(f)
 	c.flows.Remove(key, hash)
@@ -309,6 +338,8 @@
 	for o := c.unanswered.first(); o != nil && now.Sub(o.openedAt) >= answerTimeout; o = c.unanswered.first() {
 		f := c.flows.Get(&o.key, o.hash)
 		if f != nil && f.unanswered {
+			// No request reached the target: it takes no place of the limit.
+			c.leavePool(f)
 			c.Ejections = append(c.Ejections, c.placer.RecordUnanswered(now, f.target)...)
 		}
 		c.unanswered.pop()
--- a/internal/hscookie/routes.go
+++ b/internal/hscookie/routes.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"heatherstack.org/heatherstack/internal/hsfeed"
+	"heatherstack.org/heatherstack/internal/hslimit"
 )
 
 type (
@@ -22,6 +23,8 @@
 		// which its open flows are still forwarded.
 		keepUntil time.Time
 		pauses    pauses
+		// Time in service of the route's requests in calm.
+		calm hslimit.CalmTime
 	}
 
 	// targets holds the listed targets, and those that were removed from the
@@ -40,6 +43,8 @@
 		// Zero while the target is listed, else the time until which packets of
 		// open flows are still forwarded to it.
 		keepUntil time.Time
+		// Limit of requests in progress; nil unless Config.LearnCapacity.
+		pool *hslimit.Pool
 	}
 )
 
@@ -53,6 +58,7 @@
 	for at, old := range r.byAddress {
 		if r := next[at]; r != nil {
 			r.pauses = old.pauses
+			r.calm = old.calm
 			continue
 		}
 		if old.keepUntil.IsZero() {
@@ -99,6 +105,14 @@
 	}
 }
 
+// setPools sets the limits that apply to the listed targets.
+func (t *targets) setPools(list []hsfeed.TargetRecord, limits *hslimit.Limiter) {
+	for i := range list {
+		r := &list[i]
+		t.byID[r.ID].pool = limits.Pool(hslimit.Key{Service: r.Service, Zone: r.Zone})
+	}
+}
+
 // find returns the target that a cookie identifies on a route, or nil if no
 // target or more than one has this cookie.
 func (t *targets) find(r *knownRoute, c Cookie) *destination {
--- a/internal/hsmodel/endpoints.go
+++ b/internal/hsmodel/endpoints.go
@@ -12,12 +12,16 @@
 	caller struct {
 		sim          *simulation
 		zone         int
+		route        int
 		sent         time.Duration
 		workTime     time.Duration
 		attemptsLeft int
 		done         bool
 		// True if the last attempt was refused.
 		lastRefused bool
+		// True if the last attempt was rejected by its target; only in runs
+		// with a Shortage.
+		lastRejected bool
 		// True if the caller uses a kept flow of its zone, if one is idle.
 		kept bool
 	}
@@ -27,6 +31,7 @@
 	attempt struct {
 		c *caller
 		*flow
+		begun  time.Duration
 		opened bool
 		ended  bool
 	}
@@ -34,6 +39,7 @@
 	// flow is the caller's end of a flow.
 	flow struct {
 		callerAddr netip.AddrPort
+		routeAddr  netip.AddrPort
 		host       *host
 		// Target of an open flow.
 		target *target
@@ -67,6 +73,8 @@
 	// part of an answer that the caller acknowledges first.
 	requestSize = 300
 	answerSize  = 2400
+	// rejectionSize is the size in bytes of a rejection by a target.
+	rejectionSize = 120
 	// retransmissionTime is the time after which the data of a request that did
 	// not arrive is sent again; it doubles each time.
 	retransmissionTime = 200 * time.Millisecond
@@ -94,16 +102,16 @@
 		sim.schedule(left, c.fail)
 	}
 	if f := sim.takeIdleFlow(c); f != nil {
-		a := &attempt{c: c, flow: f, opened: true}
+		a := &attempt{c: c, flow: f, opened: true, begun: sim.now}
 		a.sendRequest(retransmissionTime)
 		return
 	}
 	sim.lastPort++
-	hosts := sim.hostsByZone[c.zone]
-	a := &attempt{c: c, flow: &flow{
+	a := &attempt{c: c, begun: sim.now, flow: &flow{
+		routeAddr:  routeAddr(c.route),
 		callerAddr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, byte(c.zone), byte(sim.rng.IntN(250))}), sim.lastPort),
-		host:       hosts[sim.rng.IntN(len(hosts))],
-		kept:       c.kept && sim.keptFlows[c.zone] < sim.cfg.KeptFlows,
+		host:       sim.drawHost(c.zone),
+		kept:       c.kept && sim.keptFlows[c.pool()] < sim.cfg.KeptFlows,
 	}}
 	for i, after := range sendTimes {
 		sim.schedule(after+oneWayDelay, func() { a.arrive(uint32(i)) })
@@ -115,10 +123,10 @@
 // nil if there is none, or if the zone has fewer kept flows than configured.
 // Flows to targets that have left were closed by these.
 func (sim *simulation) takeIdleFlow(c *caller) *flow {
-	if !c.kept || sim.keptFlows[c.zone] < sim.cfg.KeptFlows {
+	if !c.kept || sim.keptFlows[c.pool()] < sim.cfg.KeptFlows {
 		return nil
 	}
-	idle := &sim.idleFlows[c.zone]
+	idle := &sim.idleFlows[c.pool()]
 	for len(*idle) > 0 {
 		i := sim.rng.IntN(len(*idle))
 		f := (*idle)[i]
@@ -127,7 +135,7 @@
 		if !f.target.left {
 			return f
 		}
-		sim.keptFlows[c.zone]--
+		sim.keptFlows[c.pool()]--
 	}
 	return nil
 }
@@ -158,9 +166,9 @@
 		a.host.laterPacket(a, t, 0, !keep)
 		switch {
 		case keep:
-			t.sim.idleFlows[a.c.zone] = append(t.sim.idleFlows[a.c.zone], a.flow)
+			t.sim.idleFlows[a.c.pool()] = append(t.sim.idleFlows[a.c.pool()], a.flow)
 		case a.kept:
-			t.sim.keptFlows[a.c.zone]--
+			t.sim.keptFlows[a.c.pool()]--
 		}
 	})
 }
@@ -171,11 +179,17 @@
 		return
 	}
 	c.done = true
-	if c.lastRefused {
+	switch {
+	case !c.lastRefused:
+		c.sim.result.Failed++
+		c.cell().Failed++
+	case c.lastRejected:
 		c.sim.result.Refused++
-		return
+		c.cell().Rejected++
+	default:
+		c.sim.result.Refused++
+		c.cell().Refused++
 	}
-	c.sim.result.Failed++
 }
 
 // answered ends the request with an answer.
@@ -184,11 +198,13 @@
 		return
 	}
 	c.done = true
-	if c.sim.now-c.sent > c.sim.cfg.LatencyObjective {
+	if c.sim.now-c.sent > c.objective() {
 		c.sim.result.Late++
+		c.cell().Late++
 		return
 	}
 	c.sim.result.InAim++
+	c.cell().InAim++
 	c.sim.windows[c.sent/windowLength].withinObjective++
 }
 
@@ -198,7 +214,7 @@
 	if a.opened || a.ended || a.c.done {
 		return
 	}
-	a.host.packet(a, &hscookie.Packet{From: a.callerAddr, To: serviceAddr, Flags: hscookie.FlagOpen, Retransmits: retransmissions})
+	a.host.packet(a, &hscookie.Packet{From: a.callerAddr, To: a.routeAddr, Flags: hscookie.FlagOpen, Retransmits: retransmissions})
 }
 
 func (a *attempt) timeOut() {
@@ -229,7 +245,7 @@
 		a.opened = true
 		a.target = t
 		if a.kept {
-			t.sim.keptFlows[a.c.zone]++
+			t.sim.keptFlows[a.c.pool()]++
 		}
 		a.sendRequest(retransmissionTime)
 	})
@@ -245,9 +261,10 @@
 		t.queue = append(t.queue, a)
 	default:
 		t.sim.schedule(2*oneWayDelay, func() {
+			a.rejected()
 			a.host.laterPacket(a, t, 0, true)
 			if a.kept {
-				t.sim.keptFlows[a.c.zone]--
+				t.sim.keptFlows[a.c.pool()]--
 			}
 			a.end(true)
 		})
--- a/internal/hsmodel/model.go
+++ b/internal/hsmodel/model.go
@@ -63,6 +63,9 @@
 		// True if the routers change in the middle of the load, which moves all
 		// kept flows to other hosts.
 		RouterChange bool
+		// Several routes in a large deployment, instead of Rate and KeptShare;
+		// nil for one route. Used by SimulateShortage.
+		Shortage *Shortage
 	}
 
 	// Result counts the outcomes of requests: Asked is the number of requests,
@@ -104,13 +107,15 @@
 		hostsByZone [][]*host
 		hosts       []*host
 		targets     []*target
-		// Kept flows without a request in progress, by zone.
+		// Kept flows without a request in progress, by route and zone.
 		idleFlows [][]*flow
-		// Number of open kept flows by zone.
+		// Number of open kept flows by route and zone.
 		keptFlows []int
 		lastPort  uint16
 		windows   []window
 		result    Result
+		// Nil unless the configuration has a Shortage.
+		shortage *ShortageResult
 	}
 
 	// window counts the requests that callers sent in one windowLength, and
@@ -181,6 +186,13 @@
 
 // Simulate runs a simulation.
 func Simulate(cfg Config) Result {
+	sim := newSimulation(cfg)
+	sim.schedule(0, sim.startRequest)
+	sim.run()
+	return sim.summarize()
+}
+
+func newSimulation(cfg Config) *simulation {
 	sim := &simulation{
 		cfg:     cfg,
 		rng:     rand.New(rand.NewPCG(cfg.Seed, 1)),
@@ -190,13 +202,16 @@
 	sim.build()
 	sim.scheduleOutage()
 	sim.schedulePlannedWork()
-	sim.schedule(0, sim.startRequest)
+	return sim
+}
+
+// run handles all events in order of time.
+func (sim *simulation) run() {
 	for len(sim.events) > 0 {
 		e := heap.Pop(&sim.events).(event) //nolint:forcetypeassert // the heap holds events only
 		sim.now = e.at
 		e.do()
 	}
-	return sim.summarize()
 }
 
 func (sim *simulation) build() {
@@ -208,8 +223,12 @@
 	for i := range sim.cfg.UnresponsiveTargets {
 		sim.targets[i*len(sim.targets)/max(sim.cfg.UnresponsiveTargets, 1)].unresponsive = true
 	}
-	sim.idleFlows = make([][]*flow, len(sim.cfg.Hosts))
-	sim.keptFlows = make([]int, len(sim.cfg.Hosts))
+	pools := len(sim.cfg.Hosts)
+	if sim.cfg.Shortage != nil {
+		pools *= len(sim.cfg.Shortage.Routes)
+	}
+	sim.idleFlows = make([][]*flow, pools)
+	sim.keptFlows = make([]int, pools)
 	for zone, n := range sim.cfg.Hosts {
 		var list []*host
 		for range n {
@@ -262,7 +281,8 @@
 
 // changeRouters moves all idle kept flows to hosts chosen at random.
 func (sim *simulation) changeRouters() {
-	for zone, flows := range sim.idleFlows {
+	for i, flows := range sim.idleFlows {
+		zone := i % len(sim.hostsByZone)
 		for _, f := range flows {
 			f.host = sim.hostsByZone[zone][sim.rng.IntN(len(sim.hostsByZone[zone]))]
 		}
--- a/internal/hsmodel/policy.go
+++ b/internal/hsmodel/policy.go
@@ -37,6 +37,8 @@
 		// Attempts by the caller's address, to find those whose held packets
 		// the core releases.
 		attempts map[netip.AddrPort]*attempt
+		// Number of reports sent in turn.
+		reports int
 	}
 )
 
@@ -125,15 +127,20 @@
 		h.targetsChanged()
 		return
 	}
-	h.core = hscookie.New(hscookie.Config{
+	cfg := hscookie.Config{
 		Placement:       hsplace.Config{Zone: zoneName(h.zone), Seed: sim.cfg.Seed + uint64(h.index)},
 		MaxFlows:        1 << 16,
 		MaxFlowLifetime: time.Minute,
 		StartTime:       clockTime(since),
-	})
-	h.core.SetConfiguration(clockTime(0), &hsfeed.Configuration{Version: 1, Routes: []hsfeed.Route{{
-		Address: serviceAddr, Shares: []hsfeed.Share{{Service: "desk", Weight: 1}}, LatencyObjective: sim.cfg.LatencyObjective, Timeout: sim.cfg.Deadline,
-	}}})
+	}
+	if s := sim.cfg.Shortage; s != nil {
+		cfg.LearnCapacity = s.LearnCapacity
+	}
+	h.core = hscookie.New(cfg)
+	if s := sim.cfg.Shortage; s != nil {
+		h.core.SetHostCount(s.HostCount)
+	}
+	h.core.SetConfiguration(clockTime(0), sim.configuration())
 	h.targetsChanged()
 }
 
@@ -193,7 +200,10 @@
 		t := h.sim.targets[v.Target-1]
 		h.sim.schedule(oneWayDelay, func() { t.accept(a) })
 	case hscookie.Refuse:
-		h.sim.schedule(oneWayDelay, func() { a.end(true) })
+		h.sim.schedule(oneWayDelay, func() {
+			a.refused()
+			a.end(true)
+		})
 	}
 }
 
@@ -211,7 +221,7 @@
 		return
 	}
 	p := hscookie.Packet{
-		From: a.callerAddr, To: serviceAddr, Flags: hscookie.FlagAck, Cookie: hscookie.NewCookie("desk", hsfeed.TargetID(t.id)),
+		From: a.callerAddr, To: a.routeAddr, Flags: hscookie.FlagAck, Cookie: hscookie.NewCookie("desk", hsfeed.TargetID(t.id)),
 		Seq: a.seq, Ack: a.ack, DataSize: size,
 	}
 	if ends {
@@ -256,6 +266,10 @@
 	now := clockTime(h.sim.now)
 	loads := h.core.AppendLoads(nil)
 	ejected := h.core.AppendEjected(now, nil)
+	if h.sim.cfg.Shortage != nil {
+		h.reportInTurn(now, loads)
+		return
+	}
 	for _, other := range h.sim.hosts {
 		if other == h {
 			continue
--- a/internal/hsplace/health.go
+++ b/internal/hsplace/health.go
@@ -38,6 +38,9 @@
 		// Target of the last unanswered opening packet. A further unanswered
 		// packet to the same target is no evidence about the zone.
 		lastUnanswered hsfeed.TargetID
+		// True if this host sends no new flows of the service to the zone, as of
+		// the current choice.
+		atLimit bool
 	}
 )
 
--- a/internal/hsplace/place.go
+++ b/internal/hsplace/place.go
@@ -60,6 +60,9 @@
 		// excluded by an ejection.
 		PoolSize     int
 		EjectedCount int
+		// Number of the other candidates that are in zones to which this host
+		// sends no more new flows for now; see ChooseWithin.
+		LimitedCount int
 	}
 
 	// Placer tracks the load and health of the targets as one entry host knows
@@ -306,11 +309,31 @@
 // utilization of all targets would exceed maxUtilization, as far as this host
 // knows their load.
 func (p *Placer) Choose(now time.Time, service string, maxUtilization float64) (Choice, hscode.Code) {
+	for _, z := range p.zones {
+		z.atLimit = false
+	}
+	return p.choose(now, service, maxUtilization)
+}
+
+// ChooseWithin returns the target for a new flow like Choose, among those in
+// zones for which allows returns true. It returns FlowOverload if all targets
+// that are not excluded are in other zones.
+func (p *Placer) ChooseWithin(now time.Time, service string, maxUtilization float64, allows func(zone string) bool) (Choice, hscode.Code) {
+	for name, z := range p.zones {
+		z.atLimit = !allows(name)
+	}
+	return p.choose(now, service, maxUtilization)
+}
+
+func (p *Placer) choose(now time.Time, service string, maxUtilization float64) (Choice, hscode.Code) {
 	pool := p.pools[service]
 	if len(pool) == 0 {
 		return Choice{}, hscode.FlowNoTarget
 	}
-	candidates, ejected := p.candidates(now, pool)
+	candidates, ejected, limited := p.candidates(now, pool)
+	if len(candidates) == 0 && limited > 0 {
+		return Choice{PoolSize: len(pool), EjectedCount: ejected, LimitedCount: limited}, hscode.FlowOverload
+	}
 	if len(candidates) == 0 {
 		return Choice{PoolSize: len(pool)}, p.codeOfExcluded(now, pool)
 	}
@@ -324,6 +347,7 @@
 		ReportedRequests: best.reported.Requests,
 		PoolSize:         len(pool),
 		EjectedCount:     ejected,
+		LimitedCount:     limited,
 	}
 	if best.totalUtilization(now) > maxUtilization {
 		return ch, hscode.FlowOverload
@@ -344,23 +368,28 @@
 	return hscode.FlowEvacuated
 }
 
-// candidates returns the targets of a pool that are not excluded, and the number
-// of ejected ones. If ejections leave no target, it returns the ejected ones: the
-// cause may then be in this host. The result is valid until the next call.
-func (p *Placer) candidates(now time.Time, pool []*target) ([]*target, int) {
+// candidates returns the targets of a pool that are not excluded and not in a
+// zone at its limit, and the number of ejected ones and of those in such zones.
+// If ejections leave no target, it returns the ejected ones: the cause may then
+// be in this host. The result is valid until the next call.
+func (p *Placer) candidates(now time.Time, pool []*target) (list []*target, ejected, limited int) {
 	p.eligible, p.ejected = p.eligible[:0], p.ejected[:0]
 	for _, t := range pool {
 		switch e := p.exclusion(now, t); {
+		case t.zone.atLimit && (e == NotExcluded || e.isEjection()):
+			if e == NotExcluded {
+				limited++
+			}
 		case e == NotExcluded:
 			p.eligible = append(p.eligible, t)
 		case e.isEjection():
 			p.ejected = append(p.ejected, t)
 		}
 	}
-	if len(p.eligible) == 0 {
-		return p.ejected, len(p.ejected)
+	if len(p.eligible) == 0 && limited == 0 {
+		return p.ejected, len(p.ejected), 0
 	}
-	return p.eligible, len(p.ejected)
+	return p.eligible, len(p.ejected), limited
 }
 
 // lowest returns the target with the lowest value, chosen at random among
--- a/internal/hsqueue/queue.go
+++ b/internal/hsqueue/queue.go
@@ -18,6 +18,10 @@
 	Config struct {
 		// Maximum number of items; at least 1.
 		MaxItems int
+		// True to release evenly among the routes of the same priority, with a
+		// minimum share for less urgent ones, and to hold no more items of a
+		// route than can be released in time.
+		Even bool
 	}
 
 	// Item is one opening packet.
@@ -31,7 +35,10 @@
 		AbandonAt time.Time
 		// 0 is the most urgent.
 		Priority int
-		Value    T
+		// Used with Config.Even.
+		Route Route
+		Value T
+		route *route
 	}
 
 	// Queue holds items. It is not safe for concurrent use.
@@ -40,6 +47,11 @@
 		// Current maximum number of items; at most the configured one.
 		currentLimit int
 		items        []Item[T]
+		// Empty unless Config.Even.
+		routes map[Route]*route
+		levels map[levelKey]*level
+		// The values of routes, in the order in which they were added.
+		routeList []*route
 	}
 )
 
@@ -48,13 +60,18 @@
 const minLimit = 16
 
 // New returns an empty queue.
-func New[T any](cfg Config) *Queue[T] { return &Queue[T]{cfg: cfg, currentLimit: cfg.MaxItems} }
+func New[T any](cfg Config) *Queue[T] {
+	return &Queue[T]{cfg: cfg, currentLimit: cfg.MaxItems, routes: map[Route]*route{}, levels: map[levelKey]*level{}}
+}
 
 // Len returns the number of items held.
 func (q *Queue[T]) Len() int { return len(q.items) }
 
 // Clear removes all items.
 func (q *Queue[T]) Clear() {
+	clear(q.routes)
+	clear(q.levels)
+	q.routeList = nil
 	clear(q.items)
 	q.items = q.items[:0]
 }
@@ -69,11 +86,20 @@
 }
 
 // Push adds an item.
-func (q *Queue[T]) Push(it Item[T]) { q.items = append(q.items, it) }
+func (q *Queue[T]) Push(it Item[T]) {
+	if q.cfg.Even {
+		q.startHolding(&it)
+	}
+	q.items = append(q.items, it)
+}
 
 // RemoveExcess removes and returns the item that would be released last, if
-// there are more items than the current limit allows.
+// there are more items than the current limit allows. With Config.Even, it is
+// the newest item of a route that holds too many.
 func (q *Queue[T]) RemoveExcess(now time.Time) (Item[T], bool) {
+	if q.cfg.Even {
+		return q.removeExcessEven()
+	}
 	if len(q.items) <= q.currentLimit {
 		return Item[T]{}, false
 	}
@@ -100,10 +126,14 @@
 // Next returns the item to release next among those for which accept returns
 // true, or nil. The pointer is valid until items are added or removed.
 func (q *Queue[T]) Next(now time.Time, accept func(it *Item[T]) bool) *Item[T] {
+	before := releasedBefore[T]
+	if q.cfg.Even {
+		before = evenBefore[T]
+	}
 	var next *Item[T]
 	for i := range q.items {
 		it := &q.items[i]
-		if (next == nil || releasedBefore(now, it, next)) && accept(it) {
+		if (next == nil || before(now, it, next)) && accept(it) {
 			next = it
 		}
 	}
@@ -133,6 +163,9 @@
 func (q *Queue[T]) removeAt(i int) Item[T] {
 	last := len(q.items) - 1
 	it := q.items[i]
+	if it.route != nil {
+		it.route.held--
+	}
 	q.items[i] = q.items[last]
 	q.items[last] = Item[T]{}
 	q.items = q.items[:last]
