--- a/internal/hscommand/commands.go
+++ b/internal/hscommand/commands.go
@@ -36,6 +36,7 @@
 		unresponsive *int
 		outage       *time.Duration
 		kept         *bool
+		shortage     *bool
 		json         *bool
 	}
 
@@ -130,6 +131,7 @@
 		unresponsive: p.Flag("dark", "Number of targets that are unresponsive in the middle third of the run.").Default("0").Int(),
 		outage:       p.Flag("outage", "Duration of an outage of all hosts in the middle of the run; 0s for none.").Default("0s").Duration(),
 		kept:         p.Flag("kept", "Send most requests over flows that stay open, and release targets in the middle of the run.").Bool(),
+		shortage:     p.Flag("shortage", "Play three routes on 80 targets behind 77 hosts instead, without and with limits of requests in progress: a burst of 14 times the load of one route, then each --burst as a multiple of the capacity. Writes the outcomes in the burst by route and zone, with the other flags but --seed ignored.").Bool(),
 		json:         p.Flag("json", "Write one JSON object per policy.").Bool(),
 	}
 	c.soak = newSoakFlags(app)
@@ -176,6 +178,13 @@
 
 func (c *Commands) runPlace() int {
 	f := &c.place
+	if *f.shortage {
+		hsmodel.WriteShortage(c.out, "burst x14", hsmodel.ShortageConfig(*f.seed, false))
+		for _, load := range *f.bursts {
+			hsmodel.WriteShortage(c.out, fmt.Sprintf("capacity x%.1f", load), hsmodel.SteadyConfig(*f.seed, false, load))
+		}
+		return exitOK
+	}
 	if !*f.json {
 		hsmodel.WriteHeader(c.out)
 	}
--- a/internal/hscookie/admit.go
+++ b/internal/hscookie/admit.go
@@ -7,7 +7,6 @@
 
 	"heatherstack.org/heatherstack/internal/hscode"
 	"heatherstack.org/heatherstack/internal/hsflow"
-	"heatherstack.org/heatherstack/internal/hslimit"
 	"heatherstack.org/heatherstack/internal/hsplace"
 	"heatherstack.org/heatherstack/internal/hsqueue"
 )
@@ -82,6 +81,9 @@
 			}
 			return v
 		}
+		if v.Choice.LimitedCount > 0 && v.Choice.Target == 0 {
+			c.Stats.Limited++
+		}
 	}
 	if c.limits != nil && !it.MeetsDeadline(now) {
 		return Verdict{Action: Refuse, Code: hscode.FlowOverload, Choice: v.Choice}
@@ -158,9 +160,8 @@
 	if c.limits == nil {
 		return c.placer.Choose(now, service, maxUtilization)
 	}
-	allows := func(zone string) bool {
-		return c.limits.Allows(now, hslimit.Key{Service: service, Zone: zone})
-	}
+	limit := c.limits.Service(service)
+	allows := func(zone string) bool { return limit.Allows(now, zone) }
 	ch, code := c.placer.ChooseWithin(now, service, maxUtilization, allows)
 	if code == hscode.FlowOverload && maxUtilization > maxLateUtilization && ch.Target != 0 {
 		return c.placer.ChooseWithin(now, service, math.Inf(1), allows)
@@ -172,7 +173,8 @@
 // refused, with its verdict, and false if there is none.
 func (c *Core) Release(now time.Time) (Packet, Verdict, bool) {
 	if it, ok := c.held.RemoveExcess(now); ok {
-		return it.Value.packet, c.countVerdict(Verdict{Action: Refuse, Code: hscode.FlowOverload}), true
+		v := c.withLimit(Verdict{Action: Refuse, Code: hscode.FlowOverload}, it.Value.service)
+		return it.Value.packet, c.countVerdict(v), true
 	}
 	if c.held.Len() == 0 {
 		return Packet{}, Verdict{}, false
@@ -196,6 +198,7 @@
 			continue
 		}
 		p := it.Value.packet
+		v = c.withLimit(v, it.Value.service)
 		if c.limits != nil && v.Action == Forward {
 			c.held.RemoveReleased(it)
 		} else {
--- a/internal/hscookie/core.go
+++ b/internal/hscookie/core.go
@@ -50,6 +50,10 @@
 		// For an opening packet that had to be placed: the chosen target and
 		// the load on which the choice is based. Zero for others.
 		Choice hsplace.Choice
+		// For an opening packet that was held or refused: this host's limit of
+		// requests in progress at the service. Zero without
+		// Config.LearnCapacity.
+		Limit hslimit.State
 	}
 
 	// Stats counts decisions.
@@ -68,6 +72,9 @@
 		// Opening packets held while their service was full, without
 		// retransmissions of held ones.
 		Held uint64
+		// Opening packets that arrived while this host's limits of requests in
+		// progress were reached at all targets of their service.
+		Limited uint64
 	}
 
 	// Durations holds histograms of durations in microseconds.
@@ -192,13 +199,23 @@
 	}
 }
 
-// LimitState returns the state of this host's limit of requests in progress at a
-// service; zero without Config.LearnCapacity.
-func (c *Core) LimitState(service string) hslimit.State {
+// AppendLimits appends the state of this host's limits of requests in progress
+// to dst, by service in the order in which they became known. There are none
+// without Config.LearnCapacity.
+func (c *Core) AppendLimits(dst []hslimit.State) []hslimit.State {
 	if c.limits == nil {
-		return hslimit.State{}
+		return dst
 	}
-	return c.limits.State(service)
+	return c.limits.AppendStates(dst)
+}
+
+// withLimit adds the state of the service's limit to the verdict on a held or
+// refused opening packet.
+func (c *Core) withLimit(v Verdict, service string) Verdict {
+	if c.limits != nil && (v.Action == Hold || v.Action == Refuse) {
+		v.Limit = c.limits.State(service)
+	}
+	return v
 }
 
 // ApplyReport applies another host's report of its loads, which replaces the
@@ -307,7 +324,7 @@
 		return Verdict{Code: hscode.FlowNoTarget}
 	}
 	h := heldPacket{packet: *p, key: *key, hash: hash, service: r.serviceFor(hash)}
-	return c.admit(now, r, &h)
+	return c.withLimit(c.admit(now, r, &h), h.service)
 }
 
 // Tick does the work that depends on time: it handles unanswered opening
--- a/internal/hsdirect/data.go
+++ b/internal/hsdirect/data.go
@@ -16,6 +16,7 @@
 	"heatherstack.org/heatherstack/internal/hscode"
 	"heatherstack.org/heatherstack/internal/hscookie"
 	"heatherstack.org/heatherstack/internal/hsfeed"
+	"heatherstack.org/heatherstack/internal/hslimit"
 	"heatherstack.org/heatherstack/internal/hsplace"
 )
 
@@ -44,6 +45,9 @@
 		AnswerTimes   *hdrhistogram.Histogram
 		ServiceTimes  *hdrhistogram.Histogram
 		FlowDurations *hdrhistogram.Histogram
+		// Limits of requests in progress; empty without
+		// Settings.LearnCapacity.
+		Limits []hslimit.State
 	}
 
 	// dataTask is the state of the data task.
@@ -264,6 +268,7 @@
 		AnswerTimes:   hdrhistogram.Import(d.core.Durations.Answer.Export()),
 		ServiceTimes:  hdrhistogram.Import(d.core.Durations.Service.Export()),
 		FlowDurations: hdrhistogram.Import(d.core.Durations.Flow.Export()),
+		Limits:        d.core.AppendLimits(nil),
 	}
 	for code, n := range d.counts {
 		st.CodeCounts[code] += n
--- a/internal/hsdirect/metrics.go
+++ b/internal/hsdirect/metrics.go
@@ -53,6 +53,7 @@
 		uintMetric("flow_expired", s.Expired),
 		uintMetric("flow_reset", s.Resets),
 		uintMetric("flow_waited", s.Held),
+		uintMetric("flow_limited", s.Limited),
 		uintMetric("flow_waiting", uint64(d.HeldPackets)),
 		uintMetric("packet_forwarded", s.Forwarded),
 		uintMetric("target_ejected", d.Ejections),
@@ -71,6 +72,14 @@
 	out = append(out, percentiles("answer_us", d.AnswerTimes)...)
 	out = append(out, percentiles("service_us", d.ServiceTimes)...)
 	out = append(out, percentiles("duration_us", d.FlowDurations)...)
+	for _, l := range d.Limits {
+		label := fmt.Sprintf("{service=%q}", l.Service)
+		out = append(out,
+			uintMetric("limit_progress"+label, uint64(max(l.InProgress, 0))),
+			uintMetric("limit_requests"+label, uint64(l.Limit)),
+			uintMetric("limit_ratio_percent"+label, uint64(100*l.Ratio)),
+		)
+	}
 	for _, e := range hscode.Table[1:] {
 		if n := d.CodeCounts[e.Code] + c.CodeCounts[e.Code]; n > 0 {
 			out = append(out, uintMetric("code_"+strconv.Itoa(int(e.Code)), n))
--- a/internal/hsdirect/record.go
+++ b/internal/hsdirect/record.go
@@ -1,6 +1,7 @@
 package hsdirect
 
 import (
+	"math"
 	"time"
 
 	"github.com/phuslu/log"
@@ -51,9 +52,19 @@
 			Int("pool", v.Choice.PoolSize).
 			Int("ejected", v.Choice.EjectedCount)
 	}
+	if s := &v.Limit; s.Service != "" {
+		line = line.Str("service", s.Service).
+			Int("progress", s.InProgress).
+			Float64("limit", roundTenth(s.Limit)).
+			Float64("ratio", roundTenth(s.Ratio)).
+			Int("limited", v.Choice.LimitedCount)
+	}
 	line.Msg("flow decision")
 }
 
+// roundTenth rounds to one decimal digit.
+func roundTenth(x float64) float64 { return math.Round(10*x) / 10 }
+
 // shouldLog reports whether a decision is selected for logging: every refusal
 // and every dropped opening packet, and the placements and holds of sampled
 // flows.
--- a/internal/hslimit/limit.go
+++ b/internal/hslimit/limit.go
@@ -48,14 +48,15 @@
 		hostCount int
 		rng       *rand.Rand
 		pools     map[Key]*Pool
-		services  map[string]*service
+		services  map[string]*Service
 		// The values of services, in the order in which they were added.
-		list      []*service
+		list      []*Service
 		adaptedAt time.Time
 	}
 
-	// State describes a service for log lines.
+	// State describes a service for log lines and metrics.
 	State struct {
+		Service string
 		// This host's requests in progress at the service, and its limit.
 		InProgress int
 		Limit      float64
@@ -63,8 +64,9 @@
 		Ratio float64
 	}
 
-	// service is the state that the pools of a service share.
-	service struct {
+	// Service is the state that the pools of a service share.
+	Service struct {
+		name  string
 		pools []*Pool
 		// Requests since the last adaptation, whether they were admitted or not,
 		// and moving average of their number per second.
@@ -78,7 +80,8 @@
 
 	// Pool is the limit for one pool.
 	Pool struct {
-		service *service
+		service *Service
+		zone    string
 		// Slots of the pool's targets; 0 once the pool has no targets.
 		slots int
 		// Requests in progress of this host. More than limit if requests arrive
@@ -157,7 +160,7 @@
 
 // New returns a limiter without pools. The seed should differ among hosts.
 func New(seed uint64) *Limiter {
-	return &Limiter{rng: rand.New(rand.NewPCG(seed, 0)), pools: map[Key]*Pool{}, services: map[string]*service{}}
+	return &Limiter{rng: rand.New(rand.NewPCG(seed, 0)), pools: map[Key]*Pool{}, services: map[string]*Service{}}
 }
 
 // SetHostCount sets the number of hosts that share the targets, 0 if it is
@@ -179,11 +182,11 @@
 		if p == nil {
 			s := l.services[k.Service]
 			if s == nil {
-				s = &service{}
+				s = &Service{name: k.Service}
 				l.services[k.Service] = s
 				l.list = append(l.list, s)
 			}
-			p = &Pool{service: s, ratio: 1}
+			p = &Pool{service: s, zone: k.Zone, ratio: 1}
 			s.pools = append(s.pools, p)
 			l.pools[k] = p
 		}
@@ -206,12 +209,23 @@
 	}
 }
 
-// Allows reports whether another request on a new flow may be sent to a pool.
+// Service returns the limits of a service, or nil if it has never had targets.
+func (l *Limiter) Service(name string) *Service { return l.services[name] }
+
+// Allows reports whether another request on a new flow may be sent to a
+// zone's targets.
 // Requests on open flows may use the whole limit; one request on a new flow is
 // allowed all the same, so that callers without open flows do not starve.
-func (l *Limiter) Allows(now time.Time, k Key) bool {
-	p := l.pools[k]
-	return p == nil || p.inProgress+p.taken(now) < p.places || p.service.opening == 0
+func (s *Service) Allows(now time.Time, zone string) bool {
+	if s == nil || s.opening == 0 {
+		return true
+	}
+	for _, p := range s.pools {
+		if p.zone == zone {
+			return p.inProgress+p.taken(now) < p.places
+		}
+	}
+	return true
 }
 
 // taken returns the number of places that are taken after possible rejections.
@@ -226,14 +240,27 @@
 
 // State returns the state of a service.
 func (l *Limiter) State(name string) State {
-	var st State
 	if s := l.services[name]; s != nil {
-		for _, p := range s.pools {
-			if p.slots > 0 {
-				st.InProgress += p.inProgress
-				st.Limit += p.limit
-				st.Ratio = max(st.Ratio, p.ratio)
-			}
+		return s.state()
+	}
+	return State{}
+}
+
+// AppendStates appends the states of all services to dst.
+func (l *Limiter) AppendStates(dst []State) []State {
+	for _, s := range l.list {
+		dst = append(dst, s.state())
+	}
+	return dst
+}
+
+func (s *Service) state() State {
+	st := State{Service: s.name}
+	for _, p := range s.pools {
+		if p.slots > 0 {
+			st.InProgress += p.inProgress
+			st.Limit += p.limit
+			st.Ratio = max(st.Ratio, p.ratio)
 		}
 	}
 	return st
--- a/internal/hsplace/place.go
+++ b/internal/hsplace/place.go
@@ -78,6 +78,8 @@
 		reports  map[string]report
 		// By name. Zones are never removed, since there are few.
 		zones map[string]*zone
+		// True if any zone may be at its limit.
+		zonesLimited bool
 		// Buffers of candidates.
 		eligible []*target
 		ejected  []*target
@@ -309,8 +311,11 @@
 // utilization of all targets would exceed maxUtilization, as far as this host
 // knows their load.
 func (p *Placer) Choose(now time.Time, service string, maxUtilization float64) (Choice, hscode.Code) {
-	for _, z := range p.zones {
-		z.atLimit = false
+	if p.zonesLimited {
+		p.zonesLimited = false
+		for _, z := range p.zones {
+			z.atLimit = false
+		}
 	}
 	return p.choose(now, service, maxUtilization)
 }
@@ -321,6 +326,7 @@
 func (p *Placer) ChooseWithin(now time.Time, service string, maxUtilization float64, allows func(zone string) bool) (Choice, hscode.Code) {
 	for name, z := range p.zones {
 		z.atLimit = !allows(name)
+		p.zonesLimited = p.zonesLimited || z.atLimit
 	}
 	return p.choose(now, service, maxUtilization)
 }
--- a/internal/hsqueue/queue.go
+++ b/internal/hsqueue/queue.go
@@ -6,6 +6,10 @@
 // would wait as long as there is a backlog and miss its latency objective. The
 // queue therefore releases flows that can still meet their objective first. The
 // others get the remaining capacity, until their callers abandon the attempt.
+//
+// With Config.Even, it is also designed for a long burst of one of several
+// routes: those of the same priority are released in turn, and a route holds no
+// more items than can be released in time.
 package hsqueue
 
 import (
