--- a/internal/hslimit/limit_test.go
+++ b/internal/hslimit/limit_test.go
@@ -49,10 +49,10 @@
 	return p.places, refused
 }
 
-func newLimiter(hosts, slots int) *Limiter {
+func newLimiter(hosts int) *Limiter {
 	l := New(1)
 	l.SetHostCount(hosts)
-	l.SetSlots(map[Key]int{desk: slots})
+	l.SetSlots(map[Key]int{desk: 40})
 	return l
 }
 
@@ -60,7 +60,7 @@
 // above the lower bound, and that all requests are admitted again from a second
 // after the shortage on.
 func TestLimitFollowsTime(t *testing.T) {
-	l, calm := newLimiter(10, 40), &CalmTime{}
+	l, calm := newLimiter(10), &CalmTime{}
 	before, _ := load(l, epoch, 5*time.Second, 60, work, calm)
 	assert.Assert(t, before >= 8, "%d places in calm", before)
 	during, _ := load(l, epoch.Add(5*time.Second), 2*time.Second, 400, 6*work, calm)
@@ -74,7 +74,7 @@
 // after an answer that is as quick as a rejection: with the place free, a full
 // target rejected several requests for each that it took.
 func TestRejectionsTakePlaces(t *testing.T) {
-	l, calm := newLimiter(10, 40), &CalmTime{}
+	l, calm := newLimiter(10), &CalmTime{}
 	load(l, epoch, 3*time.Second, 60, work, calm)
 	now := epoch.Add(3 * time.Second)
 	p := l.Pool(desk)
@@ -95,7 +95,7 @@
 // TestKeptFlows checks that requests on open flows leave less for new flows, and
 // that one new flow is admitted all the same.
 func TestKeptFlows(t *testing.T) {
-	l := newLimiter(10, 40)
+	l := newLimiter(10)
 	p := l.Pool(desk)
 	for range 2 * p.places {
 		p.Begin(false)
@@ -113,7 +113,7 @@
 		hosts int
 		share float64
 	}{{0, unknownShare}, {-3, unknownShare}, {1, 40}, {77, 40.0 / 77}, {math.MaxInt, 0}} {
-		l := newLimiter(c.hosts, 40)
+		l := newLimiter(c.hosts)
 		share, upper := l.bounds(l.Pool(desk))
 		assert.Assert(t, math.Abs(share-c.share) < 1e-9 && upper >= share, "%d hosts: %f to %f", c.hosts, share, upper)
 		assert.Assert(t, l.Service("desk").Allows(epoch, "a"), "the first request is always admitted")
@@ -123,7 +123,7 @@
 // TestClockJump checks that clocks that go backwards or far ahead leave a limit
 // within its bounds.
 func TestClockJump(t *testing.T) {
-	l, calm := newLimiter(10, 40), &CalmTime{}
+	l, calm := newLimiter(10), &CalmTime{}
 	load(l, epoch, time.Second, 60, work, calm)
 	for _, now := range []time.Time{epoch.Add(-time.Hour), epoch.Add(1000 * time.Hour), epoch} {
 		l.Tick(now)
@@ -136,7 +136,7 @@
 // TestPoolWithoutTargets checks that requests that are in progress when the
 // targets of a pool vanish are still counted when they end.
 func TestPoolWithoutTargets(t *testing.T) {
-	l := newLimiter(10, 40)
+	l := newLimiter(10)
 	p := l.Pool(desk)
 	p.Begin(true)
 	l.SetSlots(nil)
