--- a/internal/hscookie/admit.go
+++ b/internal/hscookie/admit.go
@@ -70,11 +70,23 @@
 	if c.held.Find(func(old *heldPacket) bool { return old.key == h.key }) != nil {
 		return v
 	}
+	if c.limits != nil {
+		c.limits.AddDemand(h.service)
+	}
 	it := newItem(now, r, h)
-	if c.held.Len() == 0 || it.MeetsDeadline(now) {
+	if c.tryAtOnce(now, &it) {
 		if v = c.placeItem(now, &it); v.Action != Hold {
+			if c.limits != nil && v.Action == Forward {
+				c.held.CountReleased(it.Route, it.Priority)
+			}
 			return v
 		}
+		if v.Choice.LimitedCount > 0 && v.Choice.Target == 0 {
+			c.Stats.Limited++
+		}
+	}
+	if c.limits != nil && !it.MeetsDeadline(now) {
+		return Verdict{Action: Refuse, Code: hscode.FlowOverload, Choice: v.Choice}
 	}
 	if v.Choice.Exclusion == hsplace.WarmUpLimit && c.countHeld(h.service) >= c.placer.UpcomingFlows(now, it.Deadline, h.service) {
 		return c.refuseLimited(v.Choice)
@@ -88,6 +100,16 @@
 	return v
 }
 
+// tryAtOnce reports whether a new flow may be placed before those that are held.
+// With limits of requests in progress, the queue decides who is next whenever
+// flows to the service are held.
+func (c *Core) tryAtOnce(now time.Time, it *hsqueue.Item[heldPacket]) bool {
+	if c.limits != nil {
+		return c.held.CountHeld(it.Route.Service) == 0
+	}
+	return c.held.Len() == 0 || it.MeetsDeadline(now)
+}
+
 func newItem(now time.Time, r *knownRoute, h *heldPacket) hsqueue.Item[heldPacket] {
 	firstSent := now.Add(-transmitTimes[min(int(h.packet.Retransmits), len(transmitTimes)-1)])
 	maxWait := r.LatencyObjective - time.Duration(processingFraction*float64(r.LatencyObjective))
@@ -96,6 +118,7 @@
 		Deadline:  firstSent.Add(maxWait),
 		AbandonAt: firstSent.Add(attemptTimeout - attemptMargin),
 		Priority:  r.Priority,
+		Route:     hsqueue.Route{Service: h.service, Address: h.packet.To},
 		Value:     *h,
 	}
 }
@@ -118,7 +141,7 @@
 func (c *Core) placeItem(now time.Time, it *hsqueue.Item[heldPacket]) Verdict {
 	limit := c.maxUtilization(now, it)
 	h := &it.Value
-	ch, code := c.placer.Choose(now, h.service, limit)
+	ch, code := c.choose(now, h.service, limit)
 	switch code {
 	case hscode.OK:
 	case hscode.FlowOverload:
@@ -134,22 +157,45 @@
 	return Verdict{Action: Forward, To: d.address, Target: ch.Target, Cookie: d.cookie, Placed: true, Choice: ch}
 }
 
+// choose chooses the target of a new flow among those in zones for which this
+// host's requests in progress are below their limit.
+func (c *Core) choose(now time.Time, service string, maxUtilization float64) (hsplace.Choice, hscode.Code) {
+	if c.limits == nil {
+		return c.placer.Choose(now, service, maxUtilization)
+	}
+	limit := c.limits.Service(service)
+	allows := func(zone string) bool { return limit.Allows(now, zone) }
+	ch, code := c.placer.ChooseWithin(now, service, maxUtilization, allows)
+	if code == hscode.FlowOverload && maxUtilization > maxLateUtilization && ch.Target != 0 {
+		return c.placer.ChooseWithin(now, service, math.Inf(1), allows)
+	}
+	return ch, code
+}
+
 // Release removes and returns the next held packet that can be forwarded or is
 // refused, with its verdict, and false if there is none.
 func (c *Core) Release(now time.Time) (Packet, Verdict, bool) {
 	if it, ok := c.held.RemoveExcess(now); ok {
-		return it.Value.packet, c.countVerdict(Verdict{Action: Refuse, Code: hscode.FlowOverload}), true
+		v := c.withLimit(Verdict{Action: Refuse, Code: hscode.FlowOverload}, it.Value.service)
+		return it.Value.packet, c.countVerdict(v), true
 	}
 	if c.held.Len() == 0 {
 		return Packet{}, Verdict{}, false
 	}
 	full := map[string]bool{}
 	for {
-		it := c.held.Next(now, func(it *hsqueue.Item[heldPacket]) bool { return !full[it.Value.service] })
+		it := c.held.Next(now, func(it *hsqueue.Item[heldPacket]) bool {
+			return !full[it.Value.service] || (c.limits != nil && !it.MeetsDeadline(now))
+		})
 		if it == nil {
 			return Packet{}, Verdict{}, false
 		}
 		v := c.decideHeld(now, it)
+		if v.Action == Hold && c.limits != nil && !it.MeetsDeadline(now) {
+			// The flow would only get a place after those that can still meet
+			// their objective, while its caller waits.
+			v.Action = Refuse
+		}
 		if v.Action == Hold {
 			full[it.Value.service] = true
 			if limited, ok := c.removeLimited(now, it, &v); ok {
@@ -158,7 +204,12 @@
 			continue
 		}
 		p := it.Value.packet
-		c.held.Remove(it)
+		v = c.withLimit(v, it.Value.service)
+		if c.limits != nil && v.Action == Forward {
+			c.held.RemoveReleased(it)
+		} else {
+			c.held.Remove(it)
+		}
 		return p, c.countVerdict(v), true
 	}
 }
@@ -166,7 +217,7 @@
 // refuseLimited returns the verdict on an opening packet whose service has only
 // targets in warm-up that take no more flows from this host in time.
 func (c *Core) refuseLimited(ch hsplace.Choice) Verdict {
-	c.Stats.Limited++
+	c.Stats.WarmUpRefused++
 	return Verdict{Action: Refuse, Code: hscode.FlowOverload, Choice: ch}
 }
 
@@ -211,6 +262,9 @@
 	c.rateMeasuredAt = now
 	c.placedAtMeasurement = c.Stats.Placed
 	c.held.SetReleaseRate(c.rate, attemptTimeout-attemptMargin)
+	if c.limits != nil {
+		c.held.MeasureRates(elapsed)
+	}
 }
 
 // DropHeld drops all held packets. Their callers retransmit them.
--- a/internal/hscookie/core.go
+++ b/internal/hscookie/core.go
@@ -10,6 +10,7 @@
 	"heatherstack.org/heatherstack/internal/hscode"
 	"heatherstack.org/heatherstack/internal/hsfeed"
 	"heatherstack.org/heatherstack/internal/hsflow"
+	"heatherstack.org/heatherstack/internal/hslimit"
 	"heatherstack.org/heatherstack/internal/hsplace"
 	"heatherstack.org/heatherstack/internal/hsqueue"
 )
@@ -50,6 +51,10 @@
 		// For an opening packet that had to be placed: the chosen target and
 		// the load on which the choice is based. Zero for others.
 		Choice hsplace.Choice
+		// For an opening packet that was held or refused: this host's limit of
+		// requests in progress at the service. Zero without
+		// Config.LearnCapacity.
+		Limit hslimit.State
 	}
 
 	// Stats counts decisions.
@@ -74,6 +79,9 @@
 		MissingResets uint64
 		// Opening packets refused because all targets of their service are in
 		// warm-up and take no more flows from this host in time.
+		WarmUpRefused uint64
+		// Opening packets that arrived while this host's limits of requests in
+		// progress were reached at all targets of their service.
 		Limited uint64
 	}
 
@@ -98,6 +106,8 @@
 		targets targets
 		flows   *hsflow.Table[flow]
 		held    *hsqueue.Queue[heldPacket]
+		// Nil unless Config.LearnCapacity.
+		limits *hslimit.Limiter
 		// Flows placed per second, and the time and Stats.Placed at the last
 		// measurement.
 		rate                float64
@@ -152,14 +162,18 @@
 
 // New returns a core without routes and targets.
 func New(cfg Config) *Core {
-	return &Core{
+	c := &Core{
 		cfg:        cfg,
 		placer:     hsplace.New(cfg.Placement),
 		flows:      hsflow.NewTable[flow](),
-		held:       hsqueue.New[heldPacket](hsqueue.Config{MaxItems: maxHeldPackets}),
+		held:       hsqueue.New[heldPacket](hsqueue.Config{MaxItems: maxHeldPackets, Even: cfg.LearnCapacity}),
 		CodeCounts: map[hscode.Code]uint64{},
 		Durations:  Durations{Answer: newHistogram(), Flow: newHistogram(), Service: newHistogram()},
 	}
+	if cfg.LearnCapacity {
+		c.limits = hslimit.New(cfg.Placement.Seed)
+	}
+	return c
 }
 
 func newHistogram() *hdrhistogram.Histogram {
@@ -179,6 +193,44 @@
 		c.losses.replaced = c.targets.findReplaced()
 	}
 	c.placer.SetTargets(now, list)
+	if c.limits == nil {
+		return
+	}
+	slots := map[hslimit.Key]int{}
+	for i := range list {
+		if r := &list[i]; !r.Draining {
+			slots[hslimit.Key{Service: r.Service, Zone: r.Zone}] += r.Slots
+		}
+	}
+	c.limits.SetSlots(slots)
+	c.targets.setPools(list, c.limits)
+}
+
+// SetHostCount sets the number of hosts of the deployment, 0 if it is unknown.
+// It is used with Config.LearnCapacity only.
+func (c *Core) SetHostCount(n int) {
+	if c.limits != nil {
+		c.limits.SetHostCount(n)
+	}
+}
+
+// AppendLimits appends the state of this host's limits of requests in progress
+// to dst, by service in the order in which they became known. There are none
+// without Config.LearnCapacity.
+func (c *Core) AppendLimits(dst []hslimit.State) []hslimit.State {
+	if c.limits == nil {
+		return dst
+	}
+	return c.limits.AppendStates(dst)
+}
+
+// withLimit adds the state of the service's limit to the verdict on a held or
+// refused opening packet.
+func (c *Core) withLimit(v Verdict, service string) Verdict {
+	if c.limits != nil && (v.Action == Hold || v.Action == Refuse) {
+		v.Limit = c.limits.State(service)
+	}
+	return v
 }
 
 // SetEvacuations replaces the zones that are being evacuated. Their targets
@@ -316,7 +368,7 @@
 		return Verdict{Code: hscode.FlowNoTarget}
 	}
 	h := heldPacket{packet: *p, key: *key, hash: hash, service: r.serviceFor(hash)}
-	return c.admit(now, r, &h)
+	return c.withLimit(c.admit(now, r, &h), h.service)
 }
 
 // Tick does the work that depends on time: it handles unanswered opening
@@ -328,6 +380,9 @@
 	c.dropAbandoned(now)
 	c.measureRate(now)
 	c.findLostFlows(now)
+	if c.limits != nil {
+		c.limits.Tick(now)
+	}
 	if now.Sub(c.lastSweep) >= sweepInterval {
 		c.lastSweep = now
 		c.sweep(now)
--- a/internal/hscookie/lost.go
+++ b/internal/hscookie/lost.go
@@ -69,7 +69,7 @@
 		replaced map[hsfeed.TargetID]*destination
 		// Entry of the flow table at which the next scan starts.
 		cursor int
-		// Idle flows of replaced targets that are reset next.
+		// Flows of replaced targets that are reset next.
 		resets []lostFlow
 		// Times of the last resets; next is the index of the oldest.
 		sent [maxResets]time.Time
@@ -347,7 +347,7 @@
 	return nil
 }
 
-// findLostFlows selects idle flows of replaced targets for a reset, as many as
+// findLostFlows selects flows of replaced targets for a reset, as many as
 // may be reset now, and reports targets that are new among the replaced ones.
 func (c *Core) findLostFlows(now time.Time) {
 	if len(c.losses.replaced) == 0 {
@@ -360,7 +360,7 @@
 	}
 	c.losses.cursor = c.flows.Scan(c.losses.cursor, maxSweepEntries, func(key *hsflow.Key, f *flow) {
 		d := c.losses.replaced[f.target]
-		if d == nil || f.busy || f.closed || f.unanswered || !f.ackKnown || !c.isReplaced(now, d) || !c.losses.mayReset(now) {
+		if d == nil || f.closed || f.unanswered || !f.ackKnown || !c.isReplaced(now, d) || !c.losses.mayReset(now) {
 			return
 		}
 		c.losses.recordReset(now)
@@ -369,7 +369,7 @@
 	})
 }
 
-// NextReset returns a packet that stands for an idle flow whose target no longer
+// NextReset returns a packet that stands for a flow whose target no longer
 // exists, with the verdict to reset the flow, and false if there is none. The
 // packet has the addresses and the acknowledgement of the flow only.
 func (c *Core) NextReset() (Packet, Verdict, bool) {
--- a/internal/hscookie/warmup_test.go
+++ b/internal/hscookie/warmup_test.go
@@ -69,7 +69,7 @@
 		}
 	}
 	assert.Assert(t, placed >= seconds/4 && placed <= 3*seconds/4, "%d", placed)
-	assert.Equal(t, c.Stats.Limited, uint64(refused))
+	assert.Equal(t, c.Stats.WarmUpRefused, uint64(refused))
 	assert.Equal(t, c.CodeCounts[hscode.FlowOverload], uint64(refused))
 }
 
--- a/internal/hsdirect/control.go
+++ b/internal/hsdirect/control.go
@@ -225,7 +225,7 @@
 
 // applyOutput performs the actions that the core returned.
 func (c *controller) applyOutput(ctx context.Context, out Output) {
-	if out.Configuration != nil || out.TargetsChanged || out.EvacuationsChanged || out.Report != nil || out.Store != nil || out.CutOffChanged || out.Members != nil {
+	if out.Configuration != nil || out.TargetsChanged || out.EvacuationsChanged || out.Report != nil || out.Store != nil || out.CutOffChanged || out.Members != nil || out.HostCount > 0 {
 		c.e.notifyData(ctx, dataMessage{
 			configuration: out.Configuration,
 			targets:       out.Targets,
@@ -237,6 +237,7 @@
 			cutOff:        out.CutOff,
 			cutOffSet:     out.CutOffChanged,
 			members:       out.Members,
+			hostCount:     out.HostCount,
 		})
 	}
 	c.logChanges(&out)
--- a/internal/hsdirect/core.go
+++ b/internal/hsdirect/core.go
@@ -76,6 +76,8 @@
 		Store *hscookie.StoreStatus
 		// Entry hosts that share the rates of targets in warm-up; nil if unchanged.
 		Members *hsbudget.View
+		// Number of entry hosts that are alive, this one included; 0 if unchanged.
+		HostCount int
 		// Result codes to count.
 		Codes []hscode.Code
 	}
@@ -122,8 +124,10 @@
 		members *hsbudget.Members
 		// Availability zones of the listed targets, sorted.
 		targetZones []string
-		// When the peers that are alive were last added to members.
+		// When the peers that are alive were last added to members, and number of
+		// hosts that were alive then.
 		peersHeardAt time.Time
+		hostCount    int
 		out          Output
 	}
 )
@@ -251,6 +255,10 @@
 			}
 		}
 		c.members.SetAlive(alive)
+		if alive+1 != c.hostCount {
+			c.hostCount = alive + 1
+			c.out.HostCount = c.hostCount
+		}
 	}
 	if v, changed := c.members.Update(now, c.targetZones); changed {
 		c.out.Members = &v
--- a/internal/hsdirect/data.go
+++ b/internal/hsdirect/data.go
@@ -17,6 +17,7 @@
 	"heatherstack.org/heatherstack/internal/hscode"
 	"heatherstack.org/heatherstack/internal/hscookie"
 	"heatherstack.org/heatherstack/internal/hsfeed"
+	"heatherstack.org/heatherstack/internal/hslimit"
 	"heatherstack.org/heatherstack/internal/hsplace"
 )
 
@@ -38,6 +39,8 @@
 		cutOff    bool
 		cutOffSet bool
 		members   *hsbudget.View
+		// Number of entry hosts that are alive; 0 if unchanged.
+		hostCount int
 	}
 
 	// DataStatus is the data task's part of the metrics.
@@ -58,6 +61,9 @@
 		AnswerTimes   *hdrhistogram.Histogram
 		ServiceTimes  *hdrhistogram.Histogram
 		FlowDurations *hdrhistogram.Histogram
+		// Limits of requests in progress; empty without
+		// Settings.LearnCapacity.
+		Limits []hslimit.State
 	}
 
 	// dataTask is the state of the data task.
@@ -231,6 +237,9 @@
 		d.core.ApplyReport(now, m.report.Host, m.report.Loads)
 		d.core.ApplyEjections(now, m.report.Ejected, m.report.EjectionDuration)
 	}
+	if m.hostCount > 0 {
+		d.core.SetHostCount(m.hostCount)
+	}
 	if m.members != nil {
 		d.core.SetMembers(m.members)
 	}
@@ -301,6 +310,7 @@
 		AnswerTimes:    hdrhistogram.Import(d.core.Durations.Answer.Export()),
 		ServiceTimes:   hdrhistogram.Import(d.core.Durations.Service.Export()),
 		FlowDurations:  hdrhistogram.Import(d.core.Durations.Flow.Export()),
+		Limits:         d.core.AppendLimits(nil),
 	}
 	for code, n := range d.counts {
 		st.CodeCounts[code] += n
--- a/internal/hsplace/health.go
+++ b/internal/hsplace/health.go
@@ -40,6 +40,9 @@
 		// packet to the same target is no evidence about the zone.
 		lastUnanswered hsfeed.TargetID
 		evacuated      bool
+		// True if this host sends no new flows of the service to the zone, as of
+		// the current choice.
+		atLimit bool
 	}
 )
 
--- a/internal/hsplace/place.go
+++ b/internal/hsplace/place.go
@@ -66,6 +66,9 @@
 		// Reason for which no target was chosen, if all are excluded by reasons
 		// other than ejections.
 		Exclusion Exclusion
+		// Number of the other candidates that are in zones to which this host
+		// sends no more new flows for now; see ChooseWithin.
+		LimitedCount int
 	}
 
 	// Placer tracks the load and health of the targets as one entry host knows
@@ -88,6 +91,8 @@
 		evacuated map[string]bool
 		// See SetCutOff.
 		cutOff bool
+		// True if any zone may be at its limit.
+		zonesLimited bool
 		// Buffers of candidates.
 		eligible   []*target
 		ejected    []*target
@@ -328,11 +333,35 @@
 // utilization of all targets would exceed maxUtilization, as far as this host
 // knows their load.
 func (p *Placer) Choose(now time.Time, service string, maxUtilization float64) (Choice, hscode.Code) {
+	if p.zonesLimited {
+		p.zonesLimited = false
+		for _, z := range p.zones {
+			z.atLimit = false
+		}
+	}
+	return p.choose(now, service, maxUtilization)
+}
+
+// ChooseWithin returns the target for a new flow like Choose, among those in
+// zones for which allows returns true. It returns FlowOverload if all targets
+// that are not excluded are in other zones.
+func (p *Placer) ChooseWithin(now time.Time, service string, maxUtilization float64, allows func(zone string) bool) (Choice, hscode.Code) {
+	for name, z := range p.zones {
+		z.atLimit = !allows(name)
+		p.zonesLimited = p.zonesLimited || z.atLimit
+	}
+	return p.choose(now, service, maxUtilization)
+}
+
+func (p *Placer) choose(now time.Time, service string, maxUtilization float64) (Choice, hscode.Code) {
 	pool := p.pools[service]
 	if len(pool) == 0 {
 		return Choice{}, hscode.FlowNoTarget
 	}
-	candidates, ejected := p.candidates(now, pool)
+	candidates, ejected, limited := p.candidates(now, pool)
+	if len(candidates) == 0 && limited > 0 {
+		return Choice{PoolSize: len(pool), EjectedCount: ejected, LimitedCount: limited}, hscode.FlowOverload
+	}
 	if len(candidates) == 0 {
 		return p.allExcluded(now, pool)
 	}
@@ -346,6 +375,7 @@
 		ReportedRequests: best.reported.Requests,
 		PoolSize:         len(pool),
 		EjectedCount:     ejected,
+		LimitedCount:     limited,
 	}
 	if best.totalUtilization(now) > maxUtilization {
 		return ch, hscode.FlowOverload
@@ -367,14 +397,19 @@
 	return Choice{PoolSize: len(pool), Exclusion: Evacuated}, hscode.FlowEvacuated
 }
 
-// candidates returns the targets of a pool that are not excluded, and the number
-// of ejected ones. If ejections leave no target, it returns the evacuated ones of
-// this zone if the host is cut off, else the ejected ones: the cause may then be in
-// this host. The result is valid until the next call.
-func (p *Placer) candidates(now time.Time, pool []*target) ([]*target, int) {
+// candidates returns the targets of a pool that are not excluded and not in a
+// zone at its limit, and the number of ejected ones and of those in such zones.
+// If ejections leave no target, it returns the evacuated ones of this zone if the
+// host is cut off, else the ejected ones: the cause may then be in this host. The
+// result is valid until the next call.
+func (p *Placer) candidates(now time.Time, pool []*target) (list []*target, ejected, limited int) {
 	p.eligible, p.ejected, p.lastResort = p.eligible[:0], p.ejected[:0], p.lastResort[:0]
 	for _, t := range pool {
 		switch e := p.exclusion(now, t); {
+		case t.zone.atLimit && (e == NotExcluded || e.isEjection()):
+			if e == NotExcluded {
+				limited++
+			}
 		case e == NotExcluded:
 			p.eligible = append(p.eligible, t)
 		case e.isEjection():
@@ -384,12 +419,12 @@
 		}
 	}
 	switch {
-	case len(p.eligible) > 0:
-		return p.eligible, len(p.ejected)
+	case len(p.eligible) > 0 || limited > 0:
+		return p.eligible, len(p.ejected), limited
 	case len(p.lastResort) > 0:
-		return p.lastResort, len(p.ejected)
+		return p.lastResort, len(p.ejected), 0
 	}
-	return p.ejected, len(p.ejected)
+	return p.ejected, len(p.ejected), 0
 }
 
 // lowest returns the target with the lowest value, chosen at random among
