hsplace, hscookie, hsdirect, hsmodel: learn the pace of targets and share it within the zone

Cause: with 30 to 40 % of the targets slower, targets rejected requests while most others had free slots: hosts count requests in progress only, and drop slow ones from the count after three service times. Ruled out: exact shares by speed, which no host can compute from its few requests in a deployment of 100 hosts; adding up evidence of peers, which counts one request many times. Change: service times by target are compared within service and zone, scale the cost of a target, and are averaged with those of peers; only with LearnCapacity. The load model has targets of unequal speed.

--- a/internal/hscookie/core.go
+++ b/internal/hscookie/core.go
@@ -107,6 +107,8 @@
 		Durations   Durations
 		// Ejections since the code that uses the Core last cleared the list.
 		Ejections []hsplace.Ejection
+		// Targets that were found slow, or no longer are, likewise.
+		PaceChanges []hsplace.PaceChange
 		// Number of packets by result code, without OK.
 		CodeCounts map[hscode.Code]uint64
 	}
@@ -186,6 +188,17 @@
 // AppendLoads appends this host's load of each target to dst.
 func (c *Core) AppendLoads(dst []hsplace.Load) []hsplace.Load { return c.placer.AppendLoads(dst) }
 
+// ApplyPaces applies the paces that another host of this zone knows.
+func (c *Core) ApplyPaces(now time.Time, paces []hsplace.Pace) { c.placer.ApplyPaces(now, paces) }
+
+// AppendPaces appends up to limit paces that this host knows to dst.
+func (c *Core) AppendPaces(now time.Time, dst []hsplace.Pace, limit int) []hsplace.Pace {
+	return c.placer.AppendPaces(now, dst, limit)
+}
+
+// SlowCount returns the number of targets that are slow now.
+func (c *Core) SlowCount() int { return c.placer.SlowCount() }
+
 // ConfigurationVersion returns the version of the current configuration.
 func (c *Core) ConfigurationVersion() uint64 { return c.routes.version }
 
@@ -281,6 +294,7 @@
 func (c *Core) Tick(now time.Time) {
 	c.reportUnanswered(now)
 	c.placer.Tick(now)
+	c.PaceChanges = append(c.PaceChanges, c.placer.TakePaceChanges()...)
 	c.dropAbandoned(now)
 	c.measureRate(now)
 	if now.Sub(c.lastSweep) >= sweepInterval {
--- a/internal/hscookie/flow.go
+++ b/internal/hscookie/flow.go
@@ -18,6 +18,9 @@
 		lastSeen  time.Duration
 		// Start of the request in progress, or of the pause since the last one.
 		since time.Duration
+		// Start of a request that has taken too long to count as in progress and
+		// whose answer may still come; 0 if there is none.
+		overdueSince time.Duration
 		// Sequence number of the opening packet; valid if opened.
 		openSeq uint32
 		// Highest acknowledgement number of the caller; valid if ackKnown.
@@ -206,16 +209,22 @@
 		c.placer.AddRequest(f.target)
 	}
 	f.requestSeen = false
+	f.overdueSince = 0
 	f.since = at
 }
 
 // endRequest ends the request in progress, if there is one. The flow then
 // counts for the requests that are to be expected on it.
 func (c *Core) endRequest(f *flow, r *knownRoute, at time.Duration) {
+	if f.overdueSince != 0 {
+		c.placer.RecordService(c.cfg.StartTime.Add(at), f.target, at-f.overdueSince)
+		f.overdueSince = 0
+	}
 	if !f.busy {
 		return
 	}
 	if f.requestSeen {
+		c.placer.RecordService(c.cfg.StartTime.Add(at), f.target, at-f.since)
 		c.avgServiceTime += time.Duration(serviceTimeWeight * float64(at-f.since-c.avgServiceTime))
 		recordDuration(c.Durations.Service, at-f.since)
 	}
@@ -323,7 +332,8 @@
 	timeout := c.requestTimeout()
 	c.sweepCursor = c.flows.Scan(c.sweepCursor, maxSweepEntries, func(key *hsflow.Key, f *flow) {
 		age := at - f.lastSeen
-		if age >= timeout && f.busy {
+		if age >= timeout && f.busy && age >= c.overdueAge(f.target, timeout) {
+			c.recordOverdue(now, f, at)
 			c.removeLoad(f)
 			f.since = at
 		}
@@ -340,6 +350,22 @@
 	})
 }
 
+// overdueAge returns the time without packets after which a request to a target
+// no longer counts as in progress: the longer, the slower the target is.
+func (c *Core) overdueAge(id hsfeed.TargetID, timeout time.Duration) time.Duration {
+	return min(time.Duration(float64(timeout)*c.placer.PaceFactor(id)), max(timeout, flowTimeout))
+}
+
+// recordOverdue records the time for which a request has been in progress that
+// no longer counts as such: a target that is stuck never ends its requests.
+func (c *Core) recordOverdue(now time.Time, f *flow, at time.Duration) {
+	if !c.cfg.LearnCapacity || !f.requestSeen || f.closed {
+		return
+	}
+	c.placer.RecordService(now, f.target, at-f.since)
+	f.overdueSince = f.since
+}
+
 func (q *openingQueue) push(o openingFlow) { q.items = append(q.items, o) }
 
 // first returns the oldest flow, or nil.
--- a/internal/hsdirect/core.go
+++ b/internal/hsdirect/core.go
@@ -86,6 +86,8 @@
 		// zones.
 		zoneReports   roundRobin
 		remoteReports roundRobin
+		// Number of reports in this zone that could have carried paces.
+		paceRound int
 		// Position that this host last relayed for each root; see relayReceived.
 		relayed map[string]hsfeed.Position
 		// Root and position of an update that was announced to this host and that it
@@ -217,6 +219,7 @@
 		c.out.Report = &PeerReport{Host: hb.GetFrom(), Loads: decodeLoads(hb)}
 		if hb.GetZone() == c.cfg.Zone {
 			c.out.Report.Ejected = decodeEjected(hb)
+			c.out.Report.Paces = decodePaces(hb)
 			c.out.Report.EjectionDuration = peerEjectionDuration(c.zonePeersAlive)
 		}
 	}
--- a/internal/hsdirect/data.go
+++ b/internal/hsdirect/data.go
@@ -35,6 +35,9 @@
 		Flows int
 		// Ejections of targets and zones since the start.
 		Ejections uint64
+		// Targets that are slow now, and findings of slow targets since the start.
+		SlowTargets int
+		SlowFound   uint64
 		// Opening packets that are held until a target has room.
 		HeldPackets int
 		Stats       hscookie.Stats
@@ -166,14 +169,19 @@
 	if now.Sub(d.lastReport) >= TickInterval || changed {
 		d.lastReport = now
 		d.lastEjected = ejected
-		d.reportLoads(changed)
+		d.reportLoads(now, changed)
 	}
 }
 
-// reportLoads sends the loads and the ejected targets to the control task.
+// reportLoads sends the loads, the ejected targets and the paces to the control task.
 // It drops the report if the queue is full, since the next one replaces it.
-func (d *dataTask) reportLoads(changed bool) {
-	report := &LocalReport{Loads: d.core.AppendLoads(make([]hsplace.Load, 0, 32)), Ejected: d.lastEjected, EjectionsChanged: changed}
+func (d *dataTask) reportLoads(now time.Time, changed bool) {
+	report := &LocalReport{
+		Loads:            d.core.AppendLoads(make([]hsplace.Load, 0, 32)),
+		Ejected:          d.lastEjected,
+		Paces:            d.core.AppendPaces(now, nil, maxReportedPaces*maxZoneRecipients),
+		EjectionsChanged: changed,
+	}
 	select {
 	case d.e.toControl <- controlMessage{localReport: report}:
 	default:
@@ -201,6 +209,7 @@
 	if m.report != nil {
 		d.core.ApplyReport(now, m.report.Host, m.report.Loads)
 		d.core.ApplyEjections(now, m.report.Ejected, m.report.EjectionDuration)
+		d.core.ApplyPaces(now, m.report.Paces)
 	}
 	if m.statusReply != nil {
 		m.statusReply <- d.status()
@@ -259,6 +268,8 @@
 		Flows:         d.core.FlowCount(),
 		HeldPackets:   d.core.HeldCount(),
 		Ejections:     d.flowLog.ejections,
+		SlowTargets:   d.core.SlowCount(),
+		SlowFound:     d.flowLog.slowFound,
 		Stats:         d.core.Stats,
 		CodeCounts:    map[hscode.Code]uint64{},
 		AnswerTimes:   hdrhistogram.Import(d.core.Durations.Answer.Export()),
--- a/internal/hsdirect/metrics.go
+++ b/internal/hsdirect/metrics.go
@@ -56,6 +56,8 @@
 		uintMetric("flow_waiting", uint64(d.HeldPackets)),
 		uintMetric("packet_forwarded", s.Forwarded),
 		uintMetric("target_ejected", d.Ejections),
+		uintMetric("target_slow", uint64(d.SlowTargets)),
+		uintMetric("target_slow_found", d.SlowFound),
 		uintMetric("store_calls", c.StoreCalls),
 		uintMetric("store_failures", c.StoreFailures),
 		uintMetric("store_reader", boolToUint(c.StoreReader)),
--- a/internal/hsdirect/record.go
+++ b/internal/hsdirect/record.go
@@ -7,6 +7,7 @@
 
 	"heatherstack.org/heatherstack/internal/hscode"
 	"heatherstack.org/heatherstack/internal/hscookie"
+	"heatherstack.org/heatherstack/internal/hsplace"
 )
 
 // flowLogger logs decisions about flows, and ejections, at a limited rate.
@@ -19,6 +20,8 @@
 	dropped uint64
 	// Ejections of targets and zones since the start.
 	ejections uint64
+	// Findings of slow targets since the start.
+	slowFound uint64
 }
 
 const (
@@ -68,7 +71,8 @@
 	return key.Hash()&sampleMask == 0
 }
 
-// tick logs each new ejection of a target or zone, and the number of lines that
+// tick logs each new ejection of a target or zone, the targets that were found
+// slow or no longer are, and the number of lines that
 // the rate limit dropped.
 func (l *flowLogger) tick(now time.Time, core *hscookie.Core) {
 	for _, ej := range core.Ejections {
@@ -82,12 +86,34 @@
 		}
 	}
 	core.Ejections = core.Ejections[:0]
+	for i := range core.PaceChanges {
+		l.logPaceChange(now, &core.PaceChanges[i])
+	}
+	core.PaceChanges = core.PaceChanges[:0]
 	if l.dropped > 0 && now.Sub(l.secondStart) >= time.Second {
 		l.e.log(log.WarnLevel, hscode.OK).Uint64("lines", l.dropped).Msg("log lines dropped by the rate limit")
 		l.dropped = 0
 	}
 }
 
+// logPaceChange counts and logs a target that was found slow, or no longer is,
+// with the evidence.
+func (l *flowLogger) logPaceChange(now time.Time, change *hsplace.PaceChange) {
+	text := "target is no longer slow"
+	if change.Slow {
+		l.slowFound++
+		text = "target is slow"
+	}
+	if l.allow(now) {
+		l.e.log(log.InfoLevel, hscode.OK).
+			Uint64("target", uint64(change.Target)).
+			Dur("takes", change.Time).
+			Dur("usual", change.Reference).
+			Float64("requests", change.Count).
+			Msg(text)
+	}
+}
+
 func (l *flowLogger) allow(now time.Time) bool {
 	if now.Sub(l.secondStart) >= time.Second {
 		l.secondStart = now
--- a/internal/hsdirect/report.go
+++ b/internal/hsdirect/report.go
@@ -12,20 +12,22 @@
 
 type (
 	// PeerReport is a peer's load report: its loads by target and, if it is in this
-	// zone, the targets that it has ejected.
+	// zone, the targets that it has ejected and the paces that it knows.
 	PeerReport struct {
 		Host    string
 		Loads   []hsplace.Load
 		Ejected []hsfeed.TargetID
 		// Time for which the targets in Ejected also count as ejected at this host.
 		EjectionDuration time.Duration
+		Paces            []hsplace.Pace
 	}
 
-	// LocalReport is this host's load report: its loads by target and the targets
-	// that it has ejected.
+	// LocalReport is this host's load report: its loads by target, the targets that
+	// it has ejected, and the paces that it knows, the most telling first.
 	LocalReport struct {
 		Loads   []hsplace.Load
 		Ejected []hsfeed.TargetID
+		Paces   []hsplace.Pace
 		// True if the ejected targets changed; peers in this zone are then notified
 		// at once.
 		EjectionsChanged bool
@@ -56,6 +58,14 @@
 	// report.
 	maxReportedLoads     = 12
 	maxReportedEjections = 32
+	// maxReportedPaces is the number of paces in every paceRounds-th report to
+	// maxZoneRecipients peers; fewer recipients get more, within the same bytes. A
+	// pace takes 18 bytes, so that a host sends at most 410 bytes a second of them.
+	maxReportedPaces = 3
+	paceRounds       = 2
+	// paceCountUnits is the unit of a pace's count in messages: tenths of a
+	// request, since older requests count less.
+	paceCountUnits = 10
 	// expectedUnits is the unit of expected requests in messages: thousandths.
 	expectedUnits = 1000
 	// peerEjectionRounds is the time for which a peer's ejection of a target also
@@ -92,14 +102,36 @@
 			remotePeers = append(remotePeers, p.Name)
 		}
 	}
-	due := c.zoneReports.duePeers(now, zoneReportInterval, zonePeers, maxZoneRecipients)
+	zoneDue := c.zoneReports.duePeers(now, zoneReportInterval, zonePeers, maxZoneRecipients)
+	paces := c.duePaces(report.Paces, len(zoneDue))
 	if report.EjectionsChanged {
-		due = c.zoneReports.takePeers(zonePeers, maxPushPeers)
+		zoneDue, paces = c.zoneReports.takePeers(zonePeers, maxPushPeers), nil
 	}
-	due = append(due, c.remoteReports.duePeers(now, remoteReportInterval, remotePeers, maxRemoteRecipients)...)
-	if len(due) == 0 {
-		return c.takeOutput()
+	remoteDue := c.remoteReports.duePeers(now, remoteReportInterval, remotePeers, maxRemoteRecipients)
+	if len(remoteDue) > 0 {
+		c.sendReport(report, nil, remoteDue)
 	}
+	if len(zoneDue) > 0 {
+		c.sendReport(report, paces, zoneDue)
+	}
+	return c.takeOutput()
+}
+
+// duePaces returns the paces that the next report to the given number of peers
+// in this zone carries.
+func (c *Core) duePaces(paces []hsplace.Pace, recipients int) []hsplace.Pace {
+	if recipients == 0 || len(paces) == 0 {
+		return nil
+	}
+	c.paceRound++
+	if c.paceRound%paceRounds != 0 {
+		return nil
+	}
+	return paces[:min(len(paces), maxReportedPaces*maxZoneRecipients/recipients)]
+}
+
+// sendReport sends a load report to the given peers.
+func (c *Core) sendReport(report *LocalReport, paces []hsplace.Pace, due []string) {
 	hb := c.roster.NewMessage(hsschema.Heartbeat_KIND_LOADS)
 	loads := report.Loads
 	slices.SortFunc(loads, func(a, b hsplace.Load) int {
@@ -115,10 +147,16 @@
 	for _, id := range report.Ejected[:min(len(report.Ejected), maxReportedEjections)] {
 		hb.Ejected = append(hb.Ejected, uint64(id))
 	}
+	for _, p := range paces {
+		hb.Paces = append(hb.Paces, &hsschema.Pace{
+			Target: uint64(p.Target),
+			Time:   uint32(p.Time.Microseconds()),
+			Count:  uint32(p.Count * paceCountUnits),
+		})
+	}
 	for _, name := range due {
 		c.send(name, hb)
 	}
-	return c.takeOutput()
 }
 
 // duePeers returns up to limit peers whose turn it is, or none if the interval
@@ -161,3 +199,19 @@
 	}
 	return out
 }
+
+// decodePaces returns the paces of a heartbeat. More than a report holds are
+// ignored; the placer checks the values.
+func decodePaces(hb *hsschema.Heartbeat) []hsplace.Pace {
+	list := hb.GetPaces()
+	list = list[:min(len(list), maxReportedPaces*maxZoneRecipients)]
+	out := make([]hsplace.Pace, 0, len(list))
+	for _, p := range list {
+		out = append(out, hsplace.Pace{
+			Target: hsfeed.TargetID(p.GetTarget()),
+			Time:   time.Duration(p.GetTime()) * time.Microsecond,
+			Count:  float64(p.GetCount()) / paceCountUnits,
+		})
+	}
+	return out
+}
--- a/internal/hsmodel/endpoints.go
+++ b/internal/hsmodel/endpoints.go
@@ -145,7 +145,7 @@
 	t := a.target
 	a.host.laterPacket(a, t, requestSize, false)
 	a.seq += requestSize
-	t.sim.schedule(2*oneWayDelay, func() { t.request(a) })
+	t.sim.schedule(2*oneWayDelay+a.linkDelay(), func() { t.request(a) })
 }
 
 // received handles the arrival of the answer: the caller acknowledges it, and
@@ -154,7 +154,7 @@
 	a.ack += answerSize
 	a.c.answered()
 	keep := a.kept && !t.left
-	t.sim.schedule(oneWayDelay, func() {
+	t.sim.schedule(oneWayDelay+a.linkDelay(), func() {
 		a.host.laterPacket(a, t, 0, !keep)
 		switch {
 		case keep:
@@ -184,6 +184,7 @@
 		return
 	}
 	c.done = true
+	c.sim.pace.answered(c.sent, c.sim.now, c.sim.cfg.LatencyObjective)
 	if c.sim.now-c.sent > c.sim.cfg.LatencyObjective {
 		c.sim.result.Late++
 		return
@@ -238,13 +239,20 @@
 // request handles the arrival of the request itself: the target runs, queues or
 // refuses it.
 func (t *target) request(a *attempt) {
+	t.sim.pace.arrived(t)
 	switch {
 	case t.busySlots < t.sim.cfg.Slots:
 		t.run(a)
 	case len(t.queue) < t.sim.cfg.QueueLimit:
 		t.queue = append(t.queue, a)
 	default:
-		t.sim.schedule(2*oneWayDelay, func() {
+		if t.sim.pace != nil {
+			t.sim.pace.rejected++
+		}
+		t.sim.schedule(2*oneWayDelay+a.linkDelay(), func() {
+			if t.sim.pace != nil && t.sim.pace.RejectionAnswers {
+				a.ack += rejectionSize
+			}
 			a.host.laterPacket(a, t, 0, true)
 			if a.kept {
 				t.sim.keptFlows[a.c.zone]--
@@ -254,10 +262,18 @@
 	}
 }
 
+// linkDelay returns the delay that a slow link of the attempt's host adds.
+func (a *attempt) linkDelay() time.Duration {
+	if ps := a.c.sim.pace; ps != nil && a.host.index == 0 {
+		return ps.SlowLink
+	}
+	return 0
+}
+
 func (t *target) run(a *attempt) {
 	t.busySlots++
 	t.served++
-	t.sim.schedule(a.c.workTime, func() {
+	t.sim.schedule(t.workTime(a), func() {
 		t.busySlots--
 		t.sim.schedule(oneWayDelay, func() { a.received(t) })
 		if len(t.queue) > 0 {
--- a/internal/hsmodel/model.go
+++ b/internal/hsmodel/model.go
@@ -63,6 +63,8 @@
 		// True if the routers change in the middle of the load, which moves all
 		// kept flows to other hosts.
 		RouterChange bool
+		// Differences in speed of the targets; nil if they are alike.
+		Pace *PaceConfig
 	}
 
 	// Result counts the outcomes of requests: Asked is the number of requests,
@@ -111,6 +113,8 @@
 		lastPort  uint16
 		windows   []window
 		result    Result
+		// Nil unless the targets differ in speed.
+		pace *paceState
 	}
 
 	// window counts the requests that callers sent in one windowLength, and
@@ -180,13 +184,19 @@
 }
 
 // Simulate runs a simulation.
-func Simulate(cfg Config) Result {
-	sim := &simulation{
+func Simulate(cfg Config) Result { return newSimulation(cfg).run() }
+
+func newSimulation(cfg Config) *simulation {
+	return &simulation{
 		cfg:     cfg,
 		rng:     rand.New(rand.NewPCG(cfg.Seed, 1)),
 		windows: make([]window, int(cfg.Duration/windowLength)+1),
 		result:  Result{Policy: cfg.Policy.Name},
+		pace:    newPaceState(&cfg),
 	}
+}
+
+func (sim *simulation) run() Result {
 	sim.build()
 	sim.scheduleOutage()
 	sim.schedulePlannedWork()
@@ -224,6 +234,9 @@
 		if sim.cfg.ReportInterval > 0 {
 			sim.schedule(time.Duration(h.index)*time.Millisecond, h.report)
 		}
+		if sim.pace != nil && sim.pace.Restart > 0 && h.index == 0 {
+			sim.schedule(sim.pace.Restart, h.start)
+		}
 	}
 }
 
@@ -278,6 +291,7 @@
 	c.kept = sim.cfg.KeptShare > 0 && sim.rng.Float64() < sim.cfg.KeptShare
 	c.workTime = time.Duration(float64(sim.cfg.MeanWorkTime) * math.Exp(workSigma*sim.rng.NormFloat64()-workSigma*workSigma/2))
 	sim.result.Asked++
+	sim.pace.sent(sim.now)
 	sim.windows[sim.now/windowLength].sent++
 	c.startAttempt()
 	rate := sim.cfg.Rate
--- a/internal/hsmodel/policy.go
+++ b/internal/hsmodel/policy.go
@@ -37,6 +37,10 @@
 		// Attempts by the caller's address, to find those whose held packets
 		// the core releases.
 		attempts map[netip.AddrPort]*attempt
+		// With PaceConfig: number of rounds of reports, and the last recipients.
+		reports        int
+		zonePosition   int
+		remotePosition int
 	}
 )
 
@@ -125,8 +129,11 @@
 		h.targetsChanged()
 		return
 	}
+	learn := sim.pace != nil && sim.pace.Learn
+	h.zonePosition, h.remotePosition = h.index, h.index
 	h.core = hscookie.New(hscookie.Config{
-		Placement:       hsplace.Config{Zone: zoneName(h.zone), Seed: sim.cfg.Seed + uint64(h.index)},
+		Placement:       hsplace.Config{Zone: zoneName(h.zone), Seed: sim.cfg.Seed + uint64(h.index), LearnCapacity: learn},
+		LearnCapacity:   learn,
 		MaxFlows:        1 << 16,
 		MaxFlowLifetime: time.Minute,
 		StartTime:       clockTime(since),
@@ -165,6 +172,11 @@
 		return
 	}
 	h.attempts[a.callerAddr] = a
+	if ps := h.sim.pace; ps != nil && ps.Omniscient {
+		t := ps.choose(h.sim, h.zone)
+		h.sim.schedule(oneWayDelay, func() { t.accept(a) })
+		return
+	}
 	if h.core == nil {
 		h.place(a, p)
 		return
@@ -235,6 +247,7 @@
 	if h.running && h.core != nil {
 		h.core.Tick(clockTime(h.sim.now))
 		h.releaseHeld()
+		h.countFalselySlow()
 	}
 	if h.sim.active() {
 		h.sim.schedule(tickInterval, h.tick)
@@ -253,6 +266,10 @@
 	if !h.running {
 		return
 	}
+	if h.sim.pace != nil {
+		h.reportRound()
+		return
+	}
 	now := clockTime(h.sim.now)
 	loads := h.core.AppendLoads(nil)
 	ejected := h.core.AppendEjected(now, nil)
--- a/internal/hsplace/place.go
+++ b/internal/hsplace/place.go
@@ -78,6 +78,7 @@
 		// Buffers of candidates.
 		eligible []*target
 		ejected  []*target
+		pacer    pacer
 	}
 
 	target struct {
@@ -96,6 +97,7 @@
 		// host of this zone has ejected it.
 		peerEjectedUntil time.Time
 		health
+		pace pace
 	}
 
 	report struct {
@@ -138,6 +140,7 @@
 		pools:   map[string][]*target{},
 		reports: map[string]report{},
 		zones:   map[string]*zone{},
+		pacer:   newPacer(),
 	}
 }
 
@@ -162,6 +165,9 @@
 		if t == nil || t.record.StartUnixMilli != record.StartUnixMilli {
 			t = &target{}
 		}
+		if record.Target != t.record.Target {
+			t.pace = pace{}
+		}
 		t.record = record
 		t.sameZone = record.Zone == p.cfg.Zone
 		t.zone = p.zone(record.Zone)
@@ -300,6 +306,7 @@
 	if expired {
 		p.sumReports()
 	}
+	p.updatePaces(now)
 }
 
 // Choose returns the target for a new flow of a service, or FlowOverload if the
@@ -314,7 +321,7 @@
 	if len(candidates) == 0 {
 		return Choice{PoolSize: len(pool)}, p.codeOfExcluded(now, pool)
 	}
-	best := p.lowest(candidates, func(t *target) float64 { return t.cost(now) })
+	best := p.cheapest(now, service, candidates)
 	if best.totalUtilization(now) > maxUtilization {
 		best = p.lowest(candidates, func(t *target) float64 { return t.totalUtilization(now) })
 	}
@@ -363,6 +370,15 @@
 	return p.eligible, len(p.ejected)
 }
 
+// cheapest returns the target for a new flow, without regard to the limit of
+// utilization. Targets that differ in pace share the flows by their cost.
+func (p *Placer) cheapest(now time.Time, service string, candidates []*target) *target {
+	if p.pacer.unequal[service] {
+		return p.weighted(now, candidates)
+	}
+	return p.lowest(candidates, func(t *target) float64 { return t.cost(now) })
+}
+
 // lowest returns the target with the lowest value, chosen at random among
 // equals.
 func (p *Placer) lowest(list []*target, value func(t *target) float64) *target {
@@ -387,9 +403,14 @@
 // cost returns the utilization that the target would have with one more
 // request, plus a penalty if it is in another zone. Requests reported by other
 // hosts have a low weight: most of them have ended by the time that the report
-// is used, and with full weight all hosts would choose the same targets.
+// is used, and with full weight all hosts would choose the same targets. The
+// utilization counts in time at a usual target; the request itself is no cheaper
+// on a fast target, which would get the flows of all hosts otherwise.
 func (t *target) cost(now time.Time) float64 {
 	load := float64(t.own.Requests) + t.own.Expected + reportWeight*(float64(t.reported.Requests)+t.reported.Expected)
+	if f := t.pace.factor; f != 0 {
+		load = load*f + max(f, 1) - 1
+	}
 	c := t.utilization(now, load)
 	if !t.sameZone {
 		c += otherZonePenalty
