hsplace: one body of evidence for each target, averaged with peers'; cases of unequal targets in the load model

Cause: evidence of this host was kept beside that of peers, and both were reported: a pace that returned to its sender counted again, so that hosts remembered evidence for as long as they repeated it (TestPaceEcho). Change: a peer's pace is averaged with what is known, and the larger count applies.

--- a/internal/hsdirect/report.go
+++ b/internal/hsdirect/report.go
@@ -58,11 +58,11 @@
 	// report.
 	maxReportedLoads     = 12
 	maxReportedEjections = 32
-	// maxReportedPaces is the number of paces in every paceRounds-th report to
-	// maxZoneRecipients peers; fewer recipients get more, within the same bytes. A
-	// pace takes 18 bytes, so that a host sends at most 410 bytes a second of them.
-	maxReportedPaces = 3
-	paceRounds       = 2
+	// maxReportedPaces is the maximum number of paces in a report to
+	// maxZoneRecipients peers; every second report carries one less. Fewer
+	// recipients get more, within the same bytes. A pace takes 18 bytes, so that a
+	// host sends at most 410 bytes a second of them.
+	maxReportedPaces = 2
 	// paceCountUnits is the unit of a pace's count in messages: tenths of a
 	// request, since older requests count less.
 	paceCountUnits = 10
@@ -124,10 +124,8 @@
 		return nil
 	}
 	c.paceRound++
-	if c.paceRound%paceRounds != 0 {
-		return nil
-	}
-	return paces[:min(len(paces), maxReportedPaces*maxZoneRecipients/recipients)]
+	limit := maxReportedPaces - c.paceRound%2
+	return paces[:min(len(paces), limit*maxZoneRecipients/recipients)]
 }
 
 // sendReport sends a load report to the given peers.
--- a/internal/hsmodel/pace.go
+++ b/internal/hsmodel/pace.go
@@ -49,6 +49,14 @@
 		Restart time.Duration
 	}
 
+	// PaceCase is a named kind of unequal targets.
+	PaceCase struct {
+		Name string
+		Pace PaceConfig
+		// True if 0.7 of the requests use flows that callers keep open.
+		Kept bool
+	}
+
 	// PaceResult is the result of a simulation with targets of unequal speed.
 	PaceResult struct {
 		Result
@@ -91,6 +99,24 @@
 	}
 )
 
+// PaceCases are the compared kinds of unequal targets. The slow ones are so from
+// 2 s on, of a run of 8 s, or all the time.
+var PaceCases = []PaceCase{
+	{Name: "alike"},
+	{Name: "step-10x4", Pace: PaceConfig{SlowShare: 0.1, SlowFactor: 4, Start: 2 * time.Second, End: 5 * time.Second}},
+	{Name: "step-40x5", Pace: PaceConfig{SlowShare: 0.4, SlowFactor: 5, Start: 2 * time.Second, End: 5 * time.Second}},
+	{Name: "slow-30x6", Pace: PaceConfig{SlowShare: 0.3, SlowFactor: 6, End: time.Hour}},
+	{Name: "drift-40x5", Pace: PaceConfig{SlowShare: 0.4, SlowFactor: 5, Start: time.Second, End: 7 * time.Second, Drift: true}},
+	{Name: "half-30x5", Pace: PaceConfig{SlowShare: 0.3, SlowFactor: 5, End: time.Hour, HalfSlots: true}},
+	{Name: "zone-40x5", Pace: PaceConfig{SlowShare: 0.4, SlowFactor: 5, Start: 2 * time.Second, End: 5 * time.Second, ForZone: 1}},
+	{Name: "spread-4", Pace: PaceConfig{Spread: 4}},
+	{Name: "spread-8", Pace: PaceConfig{Spread: 8}},
+	{Name: "kept-40x5", Pace: PaceConfig{SlowShare: 0.4, SlowFactor: 5, Start: 2 * time.Second, End: 5 * time.Second}, Kept: true},
+}
+
+// PacePolicies are the compared policies with targets of unequal speed.
+var PacePolicies = []string{"before", "pace", "omniscient"}
+
 const (
 	// paceBin is the time in which arrivals are counted.
 	paceBin = 250 * time.Millisecond
@@ -105,9 +131,10 @@
 	remoteRecipients = 4
 	remoteRounds     = 5
 	reportedLoads    = 12
-	// reportedPaces is the number of paces in each pacesRounds-th report.
-	reportedPaces = 3
-	pacesRounds   = 2
+	// reportedPaces is the number of paces in every second report; the others
+	// carry one less.
+	reportedPaces = 2
+
 	// rejectionSize is the size of a rejection's answer in bytes.
 	rejectionSize = 120
 )
@@ -139,6 +166,20 @@
 	return cfg
 }
 
+// Config returns the configuration of a case under one of PacePolicies.
+func (pc *PaceCase) Config(seed uint64, hosts int, load float64, policy string) Config {
+	p := pc.Pace
+	p.RejectionAnswers = true
+	p.Learn = policy == "pace"
+	p.Omniscient = policy == "omniscient"
+	cfg := UnequalConfig(seed, hosts, load, p)
+	if pc.Kept {
+		cfg.KeptShare = 0.7
+		cfg.KeptFlows = int(cfg.Rate / 5)
+	}
+	return cfg
+}
+
 // assign returns the factor of each target, with mean speed 1, and whether it is
 // slow.
 func (pc *PaceConfig) assign(targets []int) ([]float64, []bool) {
@@ -283,10 +324,8 @@
 		return cmp.Compare(float64(b.Requests)+b.Expected, float64(a.Requests)+a.Expected)
 	})
 	loads = loads[:min(len(loads), reportedLoads)]
-	var paces []hsplace.Pace
-	if h.reports%pacesRounds == 0 {
-		paces = h.core.AppendPaces(now, nil, reportedPaces*zoneRecipients/max(min(zoneRecipients, len(h.sim.hostsByZone[h.zone])-1), 1))
-	}
+	recipients := max(min(zoneRecipients, len(h.sim.hostsByZone[h.zone])-1), 1)
+	paces := h.core.AppendPaces(now, nil, (reportedPaces-h.reports%2)*zoneRecipients/recipients)
 	if f := h.sim.pace.Falsify; f != nil && h.index == 0 {
 		paces = f(paces)
 	}
--- a/internal/hsplace/pace.go
+++ b/internal/hsplace/pace.go
@@ -45,10 +45,10 @@
 	// pace is what a host has learned of a target's service time. It is compared
 	// only with that of targets of the same service and zone on the same host.
 	pace struct {
-		// Evidence of this host's own requests and of other hosts, and the time up
-		// to which it has decayed.
-		own       evidence
-		heard     evidence
+		// Evidence of this host's requests and of other hosts, number of this host's
+		// requests in it, and the time up to which both have decayed.
+		known     evidence
+		own       float64
 		decayedAt time.Time
 		// Service time as a multiple of that of a usual target; 0 stands for 1,
 		// which also holds while there is no evidence.
@@ -101,12 +101,12 @@
 	paceInterval = 100 * time.Millisecond
 	// paceDecay is the time in which evidence loses all but 1/e of its weight:
 	// a target that has recovered is released within 2 s.
-	paceDecay = 700 * time.Millisecond
+	paceDecay = 900 * time.Millisecond
 	// minEvidence is the number of requests from which on a target's pace is
 	// used, and minRenewal the number that keeps it in use.
 	minEvidence = 3.0
 	minRenewal  = 0.7
-	shrinkage   = 0.5
+	shrinkage   = 0.3
 	// maxHeard limits the number of requests that evidence of other hosts counts
 	// for, and heardPerOwn is the fraction of it that remains after a request of
 	// this host, which is worth more than what others say.
@@ -134,6 +134,9 @@
 	neutralAbove = 1.5
 	// minReported is the smallest number of requests for which a pace is reported.
 	minReported = 0.3
+	// reportAbove is the ratio from which on the pace of a usual target is
+	// reported: smaller ones are mostly chance.
+	reportAbove = 2.2
 	// slowFrom and slowUntil are the factors at which a target is reported as
 	// slow and as usual again.
 	slowFrom  = 2.0
@@ -178,10 +181,11 @@
 		}
 		s = min(s, maxFactor*ref)
 	}
-	t.pace.own.add(s, 1)
-	if m := t.pace.heard.mean(); s > 2*m || s < m/2 {
-		t.pace.heard.scale(heardPerOwn)
+	if m := t.pace.known.mean(); s > 2*m || s < m/2 {
+		t.pace.known.scale(heardPerOwn)
 	}
+	t.pace.known.add(s, 1)
+	t.pace.own++
 	r := p.pacer.groups[group]
 	if r == nil {
 		r = &recentTimes{}
@@ -230,13 +234,13 @@
 		}
 		s := min(max(pc.Time.Seconds(), minFactor*ref), maxFactor*ref)
 		t.pace.decay(now)
-		t.pace.heard.merge(s, min(pc.Count, maxHeard))
+		t.pace.known.merge(s, min(pc.Count, maxHeard))
 	}
 }
 
 // AppendPaces appends up to limit paces to dst, of targets that differ from the
-// others or did so before, those with more evidence preferably. The choice is
-// random, so that the hosts of a zone do not all report the same targets.
+// others or did so before, preferably those with more evidence and with requests
+// of this host. The choice is random, so that the hosts of a zone do not all report the same targets.
 func (p *Placer) AppendPaces(now time.Time, dst []Pace, limit int) []Pace {
 	if !p.cfg.LearnCapacity {
 		return dst
@@ -249,15 +253,18 @@
 	for id, t := range p.targets {
 		ref := p.pacer.references[t.paceGroup()]
 		t.pace.decay(now)
-		e := t.pace.total()
+		e := t.pace.known
 		if ref == 0 || e.count < minReported {
 			continue
 		}
 		ratio, known := e.mean()/ref, t.pace.multiple()
-		if known <= 1 && ratio < neutralAbove {
+		if known <= 1 && ratio < reportAbove {
 			continue
 		}
 		score := (math.Abs(math.Log(ratio/known)) + max(math.Log(ratio), 0)) * e.count
+		if t.pace.own > minReported {
+			score *= 2
+		}
 		score *= score
 		list = append(list, scored{score: score, pace: Pace{Target: id, Time: time.Duration(e.mean() * float64(time.Second)), Count: e.count}})
 	}
@@ -298,7 +305,7 @@
 	for id, t := range p.targets {
 		t.pace.decay(now)
 		ref := p.pacer.references[t.paceGroup()]
-		e := t.pace.total()
+		e := t.pace.known
 		if e.count >= minRenewal || t.pace.relaxing == 0 {
 			u := p.rng.Float64()
 			t.pace.relaxing = minRelaxing + (maxRelaxing-minRelaxing)*u*u*u
@@ -386,12 +393,8 @@
 	if elapsed < paceTimeout {
 		k = math.Exp(-float64(elapsed) / float64(paceDecay))
 	}
-	c.own.scale(k)
-	c.heard.scale(k)
-}
-
-func (c *pace) total() evidence {
-	return evidence{sum: c.own.sum + c.heard.sum, count: c.own.count + c.heard.count}
+	c.known.scale(k)
+	c.own *= k
 }
 
 func (e *evidence) add(seconds, count float64) {
@@ -405,7 +408,9 @@
 }
 
 // merge averages evidence with that of another host. The count becomes the larger
-// of both.
+// of both. Times far below those known so far replace them: a slow target answers
+// few requests as quickly as that, and a target that has recovered is known as slow
+// to more hosts.
 func (e *evidence) merge(seconds, count float64) {
 	if seconds < contradiction*e.mean() {
 		*e = evidence{sum: seconds * count, count: count}
