--- a/internal/hscommand/commands.go
+++ b/internal/hscommand/commands.go
@@ -36,6 +36,9 @@
 		unresponsive *int
 		outage       *time.Duration
 		kept         *bool
+		pace         *bool
+		hosts        *[]int
+		loads        *[]float64
 		json         *bool
 	}
 
@@ -130,6 +133,9 @@
 		unresponsive: p.Flag("dark", "Number of targets that are unresponsive in the middle third of the run.").Default("0").Int(),
 		outage:       p.Flag("outage", "Duration of an outage of all hosts in the middle of the run; 0s for none.").Default("0s").Duration(),
 		kept:         p.Flag("kept", "Send most requests over flows that stay open, and release targets in the middle of the run.").Bool(),
+		pace:         p.Flag("pace", "Compare policies for targets of unequal speed instead, for each --hosts and --load.").Bool(),
+		hosts:        p.Flag("hosts", "With --pace: number of entry hosts, a multiple of 3; repeat for several.").Default("6", "102").Ints(),
+		loads:        p.Flag("load", "With --pace: load as a multiple of the targets' capacity; repeat for several.").Default("0.2", "0.6", "0.9", "1.2").Float64List(),
 		json:         p.Flag("json", "Write one JSON object per policy.").Bool(),
 	}
 	c.soak = newSoakFlags(app)
@@ -174,8 +180,35 @@
 	return exitOK
 }
 
+// runPace compares policies for targets of unequal speed.
+func (c *Commands) runPace() int {
+	f := &c.place
+	if !*f.json {
+		hsmodel.WritePaceHeader(c.out)
+	}
+	for _, hosts := range *f.hosts {
+		for i := range hsmodel.PaceCases {
+			pc := &hsmodel.PaceCases[i]
+			for _, load := range *f.loads {
+				for _, policy := range hsmodel.PacePolicies {
+					r := hsmodel.SimulatePace(pc.Config(*f.seed, hosts, load, policy))
+					if *f.json {
+						_ = json.NewEncoder(c.out).Encode(r)
+						continue
+					}
+					hsmodel.WritePaceRow(c.out, pc.Name, policy, hosts, load, &r)
+				}
+			}
+		}
+	}
+	return exitOK
+}
+
 func (c *Commands) runPlace() int {
 	f := &c.place
+	if *f.pace {
+		return c.runPace()
+	}
 	if !*f.json {
 		hsmodel.WriteHeader(c.out)
 	}
--- a/internal/hscookie/flow_test.go
+++ b/internal/hscookie/flow_test.go
@@ -295,3 +295,33 @@
 	assert.Equal(t, v.Action, Forward)
 	assert.Equal(t, v.Target, id)
 }
+
+// TestStuckRequest checks that a request that never ends, and one that ends long
+// after it stopped counting as in progress, are evidence of a slow target, and
+// that neither is without LearnCapacity.
+func TestStuckRequest(t *testing.T) {
+	for _, learn := range []bool{false, true} {
+		list := []hsfeed.TargetRecord{target(1, "desk"), target(2, "desk"), target(3, "desk")}
+		c := New(Config{
+			MaxFlows: 1000, MaxFlowLifetime: time.Minute, StartTime: epoch.Add(-time.Minute),
+			Placement: hsplace.Config{LearnCapacity: learn}, LearnCapacity: learn,
+		})
+		c.SetConfiguration(epoch, &hsfeed.Configuration{Version: 1, Routes: []hsfeed.Route{route(deskAddr, "desk")}})
+		c.SetTargets(epoch, list)
+		now := epoch
+		for i := range 40 {
+			f := openKept(c, now, uint16(i+1))
+			f.request(c, now)
+			if f.cookie == NewCookie("desk", 1) {
+				continue
+			}
+			now = now.Add(serviceTime)
+			f.answered(c, now)
+			c.Tick(now)
+		}
+		c.Tick(now.Add(200 * time.Millisecond))
+		c.Tick(now.Add(400 * time.Millisecond))
+		assert.Equal(t, c.placer.PaceFactor(1) > 2, learn)
+		assert.Equal(t, c.placer.PaceFactor(2), 1.0)
+	}
+}
--- a/internal/hsmodel/pace.go
+++ b/internal/hsmodel/pace.go
@@ -321,7 +321,7 @@
 	now := clockTime(h.sim.now)
 	loads := h.core.AppendLoads(nil)
 	slices.SortFunc(loads, func(a, b hsplace.Load) int {
-		return cmp.Compare(float64(b.Requests)+b.Expected, float64(a.Requests)+a.Expected)
+		return cmp.Or(cmp.Compare(float64(b.Requests)+b.Expected, float64(a.Requests)+a.Expected), cmp.Compare(a.Target, b.Target))
 	})
 	loads = loads[:min(len(loads), reportedLoads)]
 	recipients := max(min(zoneRecipients, len(h.sim.hostsByZone[h.zone])-1), 1)
--- a/internal/hsplace/pace.go
+++ b/internal/hsplace/pace.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -302,29 +303,37 @@
 	}
 	clear(p.pacer.unequal)
 	keep := math.Exp(-float64(min(max(elapsed, 0), time.Second)) / float64(relaxTime))
-	for id, t := range p.targets {
-		t.pace.decay(now)
-		ref := p.pacer.references[t.paceGroup()]
-		e := t.pace.known
-		if e.count >= minRenewal || t.pace.relaxing == 0 {
-			u := p.rng.Float64()
-			t.pace.relaxing = minRelaxing + (maxRelaxing-minRelaxing)*u*u*u
-		}
-		t.pace.update(e, ref, keep)
-		f := t.pace.multiple()
-		if f != 1 {
-			p.pacer.unequal[t.record.Service] = true
-		}
-		if (!t.pace.slow && f >= slowFrom && e.count >= minEvidence) || (t.pace.slow && f <= slowUntil) {
-			t.pace.slow = !t.pace.slow
-			p.pacer.changes = append(p.pacer.changes, PaceChange{
-				Target: id, Slow: t.pace.slow, Count: e.count,
-				Time: time.Duration(e.mean() * float64(time.Second)), Reference: time.Duration(ref * float64(time.Second)),
-			})
+	for _, service := range slices.Sorted(maps.Keys(p.pools)) {
+		for _, t := range p.pools[service] {
+			p.updatePace(now, t, keep)
 		}
 	}
 }
 
+// updatePace computes the factor of a target anew. A factor without evidence
+// keeps the given fraction of its logarithm.
+func (p *Placer) updatePace(now time.Time, t *target, keep float64) {
+	t.pace.decay(now)
+	ref := p.pacer.references[t.paceGroup()]
+	e := t.pace.known
+	if e.count >= minRenewal || t.pace.relaxing == 0 {
+		u := p.rng.Float64()
+		t.pace.relaxing = minRelaxing + (maxRelaxing-minRelaxing)*u*u*u
+	}
+	t.pace.update(e, ref, keep)
+	f := t.pace.multiple()
+	if f != 1 {
+		p.pacer.unequal[t.record.Service] = true
+	}
+	if (!t.pace.slow && f >= slowFrom && e.count >= minEvidence) || (t.pace.slow && f <= slowUntil) {
+		t.pace.slow = !t.pace.slow
+		p.pacer.changes = append(p.pacer.changes, PaceChange{
+			Target: t.record.ID, Slow: t.pace.slow, Count: e.count,
+			Time: time.Duration(e.mean() * float64(time.Second)), Reference: time.Duration(ref * float64(time.Second)),
+		})
+	}
+}
+
 func (r *recentTimes) add(now time.Time, seconds float64) {
 	r.times[r.next], r.at[r.next] = seconds, now
 	r.next = (r.next + 1) % referenceSize
--- a/internal/hsplace/place.go
+++ b/internal/hsplace/place.go
@@ -371,10 +371,13 @@
 }
 
 // cheapest returns the target for a new flow, without regard to the limit of
-// utilization. Targets that differ in pace share the flows by their cost.
+// utilization. Targets that differ in pace share the flows by their cost, while
+// slots are free; a request that will queue goes where it waits least.
 func (p *Placer) cheapest(now time.Time, service string, candidates []*target) *target {
 	if p.pacer.unequal[service] {
-		return p.weighted(now, candidates)
+		if best := p.weighted(now, candidates); best.totalUtilization(now) <= 1 {
+			return best
+		}
 	}
 	return p.lowest(candidates, func(t *target) float64 { return t.cost(now) })
 }
