--- a/internal/hsmodel/pace_test.go
+++ b/internal/hsmodel/pace_test.go
@@ -57,16 +57,18 @@
 // TestPaceAlike checks that learning costs at most 0.002 of the requests in time
 // where all targets are alike: chance must not look like a slow target.
 func TestPaceAlike(t *testing.T) {
-	t.Parallel()
 	alike := findPace(t, "alike")
 	for _, hosts := range []int{6, 102} {
 		for _, load := range []float64{0.2, 0.6, 0.9, 1.2} {
-			before := SimulatePace(alike.Config(1, hosts, load, "before"))
-			r := SimulatePace(alike.Config(1, hosts, load, "pace"))
-			assert.Check(t, inTime(&r) >= inTime(&before)-0.002, "%d hosts, load %g: %.4f, before %.4f", hosts, load, inTime(&r), inTime(&before))
-			if load < 1 {
-				assert.Check(t, r.Deviation <= 0.25, "%d hosts, load %g: a target's share deviates by %.2f", hosts, load, r.Deviation)
-			}
+			t.Run(fmt.Sprintf("%d/%g", hosts, load), func(t *testing.T) {
+				t.Parallel()
+				before := SimulatePace(alike.Config(1, hosts, load, "before"))
+				r := SimulatePace(alike.Config(1, hosts, load, "pace"))
+				assert.Check(t, inTime(&r) >= inTime(&before)-0.002, "%.4f, before %.4f", inTime(&r), inTime(&before))
+				if load < 1 {
+					assert.Check(t, r.Deviation <= 0.25, "a target's share deviates by %.2f", r.Deviation)
+				}
+			})
 		}
 	}
 }
--- a/internal/hsplace/pace.go
+++ b/internal/hsplace/pace.go
@@ -145,7 +145,7 @@
 	// relaxTime is the time in which a factor without sufficient evidence
 	// approaches 1, all but 1/e of its logarithm. The flows that the target then
 	// gets are the probes.
-	relaxTime = 1500 * time.Millisecond
+	relaxTime = 2000 * time.Millisecond
 	// contradiction is the fraction of a target's factor below which the ratio of
 	// its times contradicts it; the factor then falls releaseSpeed times as fast.
 	contradiction = 0.6
