--- a/internal/hsplace/pace.go
+++ b/internal/hsplace/pace.go
@@ -103,14 +103,16 @@
 	// paceDecay is the time in which evidence loses all but 1/e of its weight:
 	// a target that has recovered is released within 2 s.
 	paceDecay = 900 * time.Millisecond
-	// minEvidence is the number of requests from which on a target's pace is
-	// used, and minRenewal the number that keeps it in use.
+	// minEvidence is the number of requests from which on a target is reported as
+	// slow, minRenewal the number that keeps a factor from returning to 1, and
+	// shrinkage the weight of the factor 1 against the requests, as a number of
+	// requests.
 	minEvidence = 3.0
 	minRenewal  = 0.7
 	shrinkage   = 0.3
 	// maxHeard limits the number of requests that evidence of other hosts counts
-	// for, and heardPerOwn is the fraction of it that remains after a request of
-	// this host, which is worth more than what others say.
+	// for, and heardPerOwn is the fraction of the evidence that remains after a
+	// request of this host that contradicts it.
 	maxHeard    = 3.0
 	heardPerOwn = 0.5
 	// referenceSize and referenceTime limit the requests of this host from which
@@ -119,10 +121,6 @@
 	referenceSize = 24
 	referenceTime = 5 * time.Second
 	minReference  = 6
-	// paceSpread is the standard deviation of the logarithm of a request's time.
-	// A factor counts only if its logarithm is paceErrors standard errors from 0.
-	paceSpread = 0.5
-	paceErrors = 3.0
 	// quickAnswer is the fraction of the reference below which an answer carries
 	// no service time: the target has rejected the request. The fastest target
 	// of a spread of 1 to 8 takes more than a fifth of the median.
@@ -150,10 +148,11 @@
 	// its times contradicts it; the factor then falls releaseSpeed times as fast.
 	contradiction = 0.6
 	releaseSpeed  = 8
-	minRelaxing   = 0.4
-	maxRelaxing   = 3.0
-	// costTolerance is the multiple of the lowest cost up to which targets share
-	// the flows of a service with unequal targets. Choosing only the lowest
+	// minRelaxing and maxRelaxing limit pace.relaxing.
+	minRelaxing = 0.4
+	maxRelaxing = 3.0
+	// costTolerance is the multiple of the lowest cost up to which targets of other
+	// zones share the flows of a service with unequal targets. Choosing only the lowest
 	// would send the flows of all hosts to the same targets.
 	costTolerance = 1.5
 )
@@ -297,8 +296,11 @@
 	for g, r := range p.pacer.groups {
 		if ref, ok := r.median(now); ok {
 			p.pacer.references[g] = ref
-		} else {
-			delete(p.pacer.references, g)
+			continue
+		}
+		delete(p.pacer.references, g)
+		if now.Sub(r.newest()) > referenceTime {
+			delete(p.pacer.groups, g)
 		}
 	}
 	clear(p.pacer.unequal)
@@ -339,6 +341,9 @@
 	r.next = (r.next + 1) % referenceSize
 }
 
+// newest returns the time of the last request.
+func (r *recentTimes) newest() time.Time { return r.at[(r.next+referenceSize-1)%referenceSize] }
+
 // median returns the median of the times that are not too old, and false if they
 // are too few.
 func (r *recentTimes) median(now time.Time) (float64, bool) {
--- a/internal/hsplace/pace_test.go
+++ b/internal/hsplace/pace_test.go
@@ -56,11 +56,12 @@
 	return usualTime
 }
 
-// shareOf returns the share of 1,000 flows that a target gets of an idle service.
-func shareOf(p *Placer, now time.Time, id hsfeed.TargetID) float64 {
+// firstShare returns the share of 1,000 flows that target 1 gets of an idle
+// service.
+func firstShare(p *Placer, now time.Time) float64 {
 	n := 0
 	for range 1000 {
-		if ch, _ := p.Choose(now, "desk", math.Inf(1)); ch.Target == id {
+		if ch, _ := p.Choose(now, "desk", math.Inf(1)); ch.Target == 1 {
 			n++
 		}
 	}
@@ -78,12 +79,12 @@
 	found := p.TakePaceChanges()
 	assert.Equal(t, len(found), 1)
 	assert.Assert(t, found[0].Target == 1 && found[0].Slow && found[0].Count >= minEvidence && found[0].Reference == usualTime, "%+v", found)
-	assert.Assert(t, shareOf(p, now, 1) < 0.02)
+	assert.Assert(t, firstShare(p, now) < 0.02)
 	assert.Equal(t, p.SlowCount(), 1)
 	now = serve(p, now, 2*time.Second, usual)
 	released := p.TakePaceChanges()
 	assert.Assert(t, len(released) == 1 && released[0].Target == 1 && !released[0].Slow, "%+v", released)
-	assert.Assert(t, shareOf(p, now, 1) > 0.1)
+	assert.Assert(t, firstShare(p, now) > 0.1)
 }
 
 // TestPaceProbes checks that a slow target from which no evidence arrives gets
@@ -98,7 +99,7 @@
 		}
 		return usualTime
 	})
-	assert.Assert(t, shareOf(p, now, 1) > 0.1)
+	assert.Assert(t, firstShare(p, now) > 0.1)
 }
 
 // TestSlowZone checks that targets are not taken for slow if all targets of their
@@ -149,7 +150,7 @@
 		}
 		return usualTime
 	})
-	assert.Assert(t, shareOf(p, now, 1) < 0.2)
+	assert.Assert(t, firstShare(p, now) < 0.2)
 	now = serve(p, now, time.Second, func(id hsfeed.TargetID) time.Duration {
 		if id == 1 {
 			if n++; n%2 != 0 {
@@ -159,7 +160,7 @@
 		}
 		return usualTime
 	})
-	assert.Assert(t, shareOf(p, now, 1) < 0.05)
+	assert.Assert(t, firstShare(p, now) < 0.05)
 }
 
 // TestAbsurdPaces checks that times of 0 or above a minute, counts that are no
@@ -241,7 +242,7 @@
 	assert.Equal(t, paces[0].Target, hsfeed.TargetID(1))
 	peer.ApplyPaces(now, paces)
 	peer.Tick(now)
-	assert.Assert(t, shareOf(peer, now, 1) < 0.02)
+	assert.Assert(t, firstShare(peer, now) < 0.02)
 }
 
 // TestPaceEcho checks that two hosts that only repeat each other's reports forget
