Merge learned paces; limits of requests in progress become a flag

Cause: with one setting for both, limits and paces acted on one another in the load model (TestPaceTimes/300, TestPaceFaults and three cases of TestShortage became red).

--- a/internal/hscommand/commands.go
+++ b/internal/hscommand/commands.go
@@ -37,6 +37,9 @@
 		outage       *time.Duration
 		kept         *bool
 		shortage     *bool
+		pace         *bool
+		hosts        *[]int
+		loads        *[]float64
 		json         *bool
 	}
 
@@ -132,6 +135,9 @@
 		outage:       p.Flag("outage", "Duration of an outage of all hosts in the middle of the run; 0s for none.").Default("0s").Duration(),
 		kept:         p.Flag("kept", "Send most requests over flows that stay open, and release targets in the middle of the run.").Bool(),
 		shortage:     p.Flag("shortage", "Play three routes on 80 targets behind 77 hosts instead, without and with limits of requests in progress: a burst of 14 times the load of one route, then each --burst as a multiple of the capacity. Writes the outcomes in the burst by route and zone, with the other flags but --seed ignored.").Bool(),
+		pace:         p.Flag("pace", "Compare policies for targets of unequal speed instead, for each --hosts and --load.").Bool(),
+		hosts:        p.Flag("hosts", "With --pace: number of entry hosts, a multiple of 3; repeat for several.").Default("6", "102").Ints(),
+		loads:        p.Flag("load", "With --pace: load as a multiple of the targets' capacity; repeat for several.").Default("0.2", "0.6", "0.9", "1.2").Float64List(),
 		json:         p.Flag("json", "Write one JSON object per policy.").Bool(),
 	}
 	c.soak = newSoakFlags(app)
@@ -176,6 +182,30 @@
 	return exitOK
 }
 
+// runPace compares policies for targets of unequal speed.
+func (c *Commands) runPace() int {
+	f := &c.place
+	if !*f.json {
+		hsmodel.WritePaceHeader(c.out)
+	}
+	for _, hosts := range *f.hosts {
+		for i := range hsmodel.PaceCases {
+			pc := &hsmodel.PaceCases[i]
+			for _, load := range *f.loads {
+				for _, policy := range hsmodel.PacePolicies {
+					r := hsmodel.SimulatePace(pc.Config(*f.seed, hosts, load, policy))
+					if *f.json {
+						_ = json.NewEncoder(c.out).Encode(r)
+						continue
+					}
+					hsmodel.WritePaceRow(c.out, pc.Name, policy, hosts, load, &r)
+				}
+			}
+		}
+	}
+	return exitOK
+}
+
 func (c *Commands) runPlace() int {
 	f := &c.place
 	if *f.shortage {
@@ -185,6 +215,9 @@
 		}
 		return exitOK
 	}
+	if *f.pace {
+		return c.runPace()
+	}
 	if !*f.json {
 		hsmodel.WriteHeader(c.out)
 	}
--- a/internal/hscookie/core.go
+++ b/internal/hscookie/core.go
@@ -29,6 +29,7 @@
 		StartTime time.Time
 		// See hsdirect.Settings.
 		LearnCapacity bool
+		LimitRequests bool
 	}
 
 	// Action is what the host does with a packet.
@@ -53,7 +54,7 @@
 		Choice hsplace.Choice
 		// For an opening packet that was held or refused: this host's limit of
 		// requests in progress at the service. Zero without
-		// Config.LearnCapacity.
+		// Config.LimitRequests.
 		Limit hslimit.State
 	}
 
@@ -106,7 +107,7 @@
 		targets targets
 		flows   *hsflow.Table[flow]
 		held    *hsqueue.Queue[heldPacket]
-		// Nil unless Config.LearnCapacity.
+		// Nil unless Config.LimitRequests.
 		limits *hslimit.Limiter
 		// Flows placed per second, and the time and Stats.Placed at the last
 		// measurement.
@@ -129,6 +130,8 @@
 		// Targets found no longer to exist since the code that uses the Core last
 		// cleared the list.
 		LostTargets []LostTarget
+		// Targets that were found slow, or no longer are, likewise.
+		PaceChanges []hsplace.PaceChange
 		// Number of packets by result code, without OK.
 		CodeCounts map[hscode.Code]uint64
 	}
@@ -166,11 +169,11 @@
 		cfg:        cfg,
 		placer:     hsplace.New(cfg.Placement),
 		flows:      hsflow.NewTable[flow](),
-		held:       hsqueue.New[heldPacket](hsqueue.Config{MaxItems: maxHeldPackets, Even: cfg.LearnCapacity}),
+		held:       hsqueue.New[heldPacket](hsqueue.Config{MaxItems: maxHeldPackets, Even: cfg.LimitRequests}),
 		CodeCounts: map[hscode.Code]uint64{},
 		Durations:  Durations{Answer: newHistogram(), Flow: newHistogram(), Service: newHistogram()},
 	}
-	if cfg.LearnCapacity {
+	if cfg.LimitRequests {
 		c.limits = hslimit.New(cfg.Placement.Seed)
 	}
 	return c
@@ -207,7 +210,7 @@
 }
 
 // SetHostCount sets the number of hosts of the deployment, 0 if it is unknown.
-// It is used with Config.LearnCapacity only.
+// It is used with Config.LimitRequests only.
 func (c *Core) SetHostCount(n int) {
 	if c.limits != nil {
 		c.limits.SetHostCount(n)
@@ -216,7 +219,7 @@
 
 // AppendLimits appends the state of this host's limits of requests in progress
 // to dst, by service in the order in which they became known. There are none
-// without Config.LearnCapacity.
+// without Config.LimitRequests.
 func (c *Core) AppendLimits(dst []hslimit.State) []hslimit.State {
 	if c.limits == nil {
 		return dst
@@ -266,6 +269,17 @@
 // AppendLoads appends this host's load of each target to dst.
 func (c *Core) AppendLoads(dst []hsplace.Load) []hsplace.Load { return c.placer.AppendLoads(dst) }
 
+// ApplyPaces applies the paces that another host of this zone knows.
+func (c *Core) ApplyPaces(now time.Time, paces []hsplace.Pace) { c.placer.ApplyPaces(now, paces) }
+
+// AppendPaces appends up to limit paces that this host knows to dst.
+func (c *Core) AppendPaces(now time.Time, dst []hsplace.Pace, limit int) []hsplace.Pace {
+	return c.placer.AppendPaces(now, dst, limit)
+}
+
+// SlowCount returns the number of targets that are slow now.
+func (c *Core) SlowCount() int { return c.placer.SlowCount() }
+
 // ConfigurationVersion returns the version of the current configuration.
 func (c *Core) ConfigurationVersion() uint64 { return c.routes.version }
 
@@ -377,6 +391,7 @@
 func (c *Core) Tick(now time.Time) {
 	c.reportUnanswered(now)
 	c.placer.Tick(now)
+	c.PaceChanges = append(c.PaceChanges, c.placer.TakePaceChanges()...)
 	c.dropAbandoned(now)
 	c.measureRate(now)
 	c.findLostFlows(now)
--- a/internal/hscookie/limit_test.go
+++ b/internal/hscookie/limit_test.go
@@ -17,7 +17,7 @@
 // newLimitedCore returns a core with limits, for one of ten hosts before twenty
 // targets in two zones; it started long ago.
 func newLimitedCore(learn bool, targets int) *Core {
-	c := New(Config{Placement: hsplace.Config{Zone: "a", Seed: 1}, MaxFlows: 10_000, MaxFlowLifetime: flowLifetime, StartTime: epoch.Add(-time.Hour), LearnCapacity: learn})
+	c := New(Config{Placement: hsplace.Config{Zone: "a", Seed: 1}, MaxFlows: 10_000, MaxFlowLifetime: flowLifetime, StartTime: epoch.Add(-time.Hour), LimitRequests: learn})
 	r := route(deskAddr, "desk")
 	r.LatencyObjective = 500 * time.Millisecond
 	c.SetHostCount(10)
@@ -119,7 +119,7 @@
 	assert.Equal(t, c.FlowCount(), 0)
 }
 
-// TestWithoutLimits checks that without LearnCapacity no flow is held as long as
+// TestWithoutLimits checks that without LimitRequests no flow is held as long as
 // targets have room, whatever the number of hosts.
 func TestWithoutLimits(t *testing.T) {
 	c := newLimitedCore(false, 20)
--- a/internal/hscookie/routes.go
+++ b/internal/hscookie/routes.go
@@ -45,7 +45,7 @@
 		// open flows are still forwarded to it.
 		keepUntil time.Time
 		entryHistory
-		// Limit of requests in progress; nil unless Config.LearnCapacity.
+		// Limit of requests in progress; nil unless Config.LimitRequests.
 		pool *hslimit.Pool
 	}
 )
--- a/internal/hsdirect/data.go
+++ b/internal/hsdirect/data.go
@@ -50,6 +50,9 @@
 		Ejections uint64
 		// Targets found no longer to exist since the start.
 		LostTargets uint64
+		// Targets that are slow now, and findings of slow targets since the start.
+		SlowTargets int
+		SlowFound   uint64
 		// Opening packets that are held until a target has room.
 		HeldPackets int
 		// Targets in warm-up whose new flows are limited.
@@ -62,7 +65,7 @@
 		ServiceTimes  *hdrhistogram.Histogram
 		FlowDurations *hdrhistogram.Histogram
 		// Limits of requests in progress; empty without
-		// Settings.LearnCapacity.
+		// Settings.LimitRequests.
 		Limits []hslimit.State
 	}
 
@@ -115,6 +118,7 @@
 			MaxFlowLifetime: e.cfg.Settings.MaxFlowLifetime,
 			StartTime:       e.started,
 			LearnCapacity:   e.cfg.Settings.LearnCapacity,
+			LimitRequests:   e.cfg.Settings.LimitRequests,
 		}),
 		counts:  map[hscode.Code]uint64{},
 		flowLog: flowLogger{e: e},
@@ -190,14 +194,19 @@
 	if now.Sub(d.lastReport) >= TickInterval || changed {
 		d.lastReport = now
 		d.lastEjected = ejected
-		d.reportLoads(changed)
+		d.reportLoads(now, changed)
 	}
 }
 
-// reportLoads sends the loads and the ejected targets to the control task.
+// reportLoads sends the loads, the ejected targets and the paces to the control task.
 // It drops the report if the queue is full, since the next one replaces it.
-func (d *dataTask) reportLoads(changed bool) {
-	report := &LocalReport{Loads: d.core.AppendLoads(make([]hsplace.Load, 0, 32)), Ejected: d.lastEjected, EjectionsChanged: changed}
+func (d *dataTask) reportLoads(now time.Time, changed bool) {
+	report := &LocalReport{
+		Loads:            d.core.AppendLoads(make([]hsplace.Load, 0, 32)),
+		Ejected:          d.lastEjected,
+		Paces:            d.core.AppendPaces(now, nil, maxReportedPaces*maxZoneRecipients),
+		EjectionsChanged: changed,
+	}
 	select {
 	case d.e.toControl <- controlMessage{localReport: report}:
 	default:
@@ -236,6 +245,7 @@
 	if m.report != nil {
 		d.core.ApplyReport(now, m.report.Host, m.report.Loads)
 		d.core.ApplyEjections(now, m.report.Ejected, m.report.EjectionDuration)
+		d.core.ApplyPaces(now, m.report.Paces)
 	}
 	if m.hostCount > 0 {
 		d.core.SetHostCount(m.hostCount)
@@ -305,6 +315,8 @@
 		HeldPackets:    d.core.HeldCount(),
 		LimitedTargets: d.core.LimitedTargets(now),
 		Ejections:      d.flowLog.ejections,
+		SlowTargets:    d.core.SlowCount(),
+		SlowFound:      d.flowLog.slowFound,
 		Stats:          d.core.Stats,
 		CodeCounts:     map[hscode.Code]uint64{},
 		AnswerTimes:    hdrhistogram.Import(d.core.Durations.Answer.Export()),
--- a/internal/hsdirect/main.go
+++ b/internal/hsdirect/main.go
@@ -45,6 +45,8 @@
 	check := app.Flag("check", "Check the settings and exit.").Bool()
 	level := app.Flag("level", "Log level: debug, info, warn or error.").Envar("HSDIRECT_LEVEL").Default("info").
 		Enum("debug", "info", "warn", "error")
+	limit := app.Flag("limit", "Limit the requests in progress of this host by service and zone of targets, so that targets reject fewer.").
+		Envar("HSDIRECT_LIMIT").Bool()
 	if _, err := app.Parse(args); err != nil {
 		_, _ = fmt.Fprintf(stderr, "hsdirect: %s: %v\n", hscode.SettingValue, err)
 		return exitBadSettings
@@ -54,6 +56,7 @@
 		_, _ = fmt.Fprintln(stderr, err)
 		return exitBadSettings
 	}
+	settings.LimitRequests = *limit
 	if *check {
 		_, _ = fmt.Fprintln(stdout, "settings are valid")
 		return exitOK
--- a/internal/hsdirect/reload.go
+++ b/internal/hsdirect/reload.go
@@ -58,6 +58,8 @@
 		return
 	}
 	r.lastError = ""
+	// Set by a flag, not by the settings file.
+	next.LimitRequests = r.current.LimitRequests
 	changed := !reflect.DeepEqual(r.current, next)
 	if changed || signalled {
 		r.e.log(log.InfoLevel, hscode.ProcessReload).Bool("changed", changed).Bool("signalled", signalled).Msg("settings reloaded")
--- a/internal/hsdirect/settings.go
+++ b/internal/hsdirect/settings.go
@@ -42,6 +42,9 @@
 		// True if targets differ in speed or fail in ways that their entries do not
 		// show, so that the host has to learn their capacity from their answers.
 		LearnCapacity bool
+		// True if the host limits its requests in progress by service and zone of
+		// targets. Set by a flag.
+		LimitRequests bool
 	}
 )
 
--- a/internal/hsmodel/coldzone.go
+++ b/internal/hsmodel/coldzone.go
@@ -98,8 +98,9 @@
 // isCold reports whether the target is in its warm-up time.
 func (t *target) isCold() bool { return t.sim.now < t.until }
 
-// workTime returns the time that a request occupies a slot.
-func (t *target) workTime(d time.Duration) time.Duration {
+// coldWorkTime returns the time that a request occupies a slot, given the time when
+// the target is warm.
+func (t *target) coldWorkTime(d time.Duration) time.Duration {
 	if t.isCold() {
 		return time.Duration(float64(d) * t.sim.cfg.Cold.Slowness)
 	}
--- a/internal/hsmodel/model.go
+++ b/internal/hsmodel/model.go
@@ -67,6 +67,8 @@
 		// Several routes in a large deployment, instead of Rate and KeptShare;
 		// nil for one route. Used by SimulateShortage.
 		Shortage *Shortage
+		// Differences in speed of the targets; nil if they are alike.
+		Pace *PaceConfig
 	}
 
 	// Result counts the outcomes of requests: Asked is the number of requests,
@@ -121,6 +123,8 @@
 		result    Result
 		// Nil unless the configuration has a Shortage.
 		shortage *ShortageResult
+		// Nil unless the targets differ in speed.
+		pace *paceState
 	}
 
 	// window counts the requests that callers sent in one windowLength, and
@@ -203,6 +207,7 @@
 		rng:     rand.New(rand.NewPCG(cfg.Seed, 1)),
 		windows: make([]window, int(cfg.Duration/windowLength)+1),
 		result:  Result{Policy: cfg.Policy.Name},
+		pace:    newPaceState(&cfg),
 	}
 	sim.build()
 	sim.scheduleReturn()
@@ -249,6 +254,9 @@
 		if sim.cfg.ReportInterval > 0 {
 			sim.schedule(time.Duration(h.index)*time.Millisecond, h.report)
 		}
+		if sim.pace != nil && sim.pace.Restart > 0 && h.index == 0 {
+			sim.schedule(sim.pace.Restart, h.start)
+		}
 	}
 }
 
@@ -304,6 +312,7 @@
 	c.kept = sim.cfg.KeptShare > 0 && sim.rng.Float64() < sim.cfg.KeptShare
 	c.workTime = time.Duration(float64(sim.cfg.MeanWorkTime) * math.Exp(workSigma*sim.rng.NormFloat64()-workSigma*workSigma/2))
 	sim.result.Asked++
+	sim.pace.sent(sim.now)
 	sim.windows[sim.now/windowLength].sent++
 	c.startAttempt()
 	rate := sim.cfg.Rate
--- a/internal/hsmodel/policy.go
+++ b/internal/hsmodel/policy.go
@@ -37,8 +37,10 @@
 		// Attempts by the caller's address, to find those whose held packets
 		// the core releases.
 		attempts map[netip.AddrPort]*attempt
-		// Number of reports sent in turn.
-		reports int
+		// Number of rounds of reports, and the last recipients.
+		reports        int
+		zonePosition   int
+		remotePosition int
 	}
 )
 
@@ -127,15 +129,20 @@
 		h.targetsChanged()
 		return
 	}
+	h.zonePosition, h.remotePosition = h.index, h.index
 	cfg := hscookie.Config{
 		Placement:       hsplace.Config{Zone: zoneName(h.zone), Seed: sim.cfg.Seed + uint64(h.index), Host: hostName(h.index)},
 		MaxFlows:        1 << 16,
 		MaxFlowLifetime: time.Minute,
 		StartTime:       clockTime(since),
 	}
-	if s := sim.cfg.Shortage; s != nil {
-		cfg.LearnCapacity = s.LearnCapacity
+	switch {
+	case sim.cfg.Shortage != nil:
+		cfg.LimitRequests = sim.cfg.Shortage.LimitRequests
+	case sim.pace != nil:
+		cfg.LearnCapacity = sim.pace.Learn
 	}
+	cfg.Placement.LearnCapacity = cfg.LearnCapacity
 	h.core = hscookie.New(cfg)
 	if s := sim.cfg.Shortage; s != nil {
 		h.core.SetHostCount(s.HostCount)
@@ -176,6 +183,11 @@
 		return
 	}
 	h.attempts[a.callerAddr] = a
+	if ps := h.sim.pace; ps != nil && ps.Omniscient {
+		t := ps.choose(h.sim, h.zone)
+		h.sim.schedule(oneWayDelay, func() { t.accept(a) })
+		return
+	}
 	if h.core == nil {
 		h.place(a, p)
 		return
@@ -249,6 +261,7 @@
 	if h.running && h.core != nil {
 		h.core.Tick(clockTime(h.sim.now))
 		h.releaseHeld()
+		h.countFalselySlow()
 	}
 	if h.sim.active() {
 		h.sim.schedule(tickInterval, h.tick)
@@ -267,6 +280,10 @@
 	if !h.running {
 		return
 	}
+	if h.sim.pace != nil {
+		h.reportRound()
+		return
+	}
 	now := clockTime(h.sim.now)
 	loads := h.core.AppendLoads(nil)
 	ejected := h.core.AppendEjected(now, nil)
--- a/internal/hsmodel/report.go
+++ b/internal/hsmodel/report.go
@@ -46,7 +46,7 @@
 func bothWays(cfg Config) (before, limited ShortageResult) {
 	run := func(learn bool) ShortageResult {
 		s := *cfg.Shortage
-		s.LearnCapacity = learn
+		s.LimitRequests = learn
 		own := cfg
 		own.Shortage = &s
 		return SimulateShortage(own)
--- a/internal/hsmodel/shortage.go
+++ b/internal/hsmodel/shortage.go
@@ -20,7 +20,7 @@
 	Shortage struct {
 		Routes []RouteLoad
 		// True if hosts limit their requests in progress.
-		LearnCapacity bool
+		LimitRequests bool
 		// Number of hosts that each host is told; 0 if it is unknown.
 		HostCount int
 		// Share of the callers of each zone, and ratio between the callers of
@@ -115,7 +115,7 @@
 		LatencyObjective: 500 * time.Millisecond, Deadline: 2 * time.Second, Retries: 2,
 		KeptFlows: 150,
 		Shortage: &Shortage{
-			LearnCapacity: learn, HostCount: 77,
+			LimitRequests: learn, HostCount: 77,
 			Routes: []RouteLoad{
 				{Name: "purchase", Priority: 1, Rate: 300, BurstFactor: 1, LatencyObjective: 500 * time.Millisecond},
 				{Name: "search", Priority: 2, Rate: 400, BurstFactor: 14, LatencyObjective: 500 * time.Millisecond},
--- a/internal/hsplace/warmup_test.go
+++ b/internal/hsplace/warmup_test.go
@@ -141,9 +141,9 @@
 	assert.Assert(t, flows(epoch) < last/2)
 }
 
-// BenchmarkChoose compares the path without a limit (rate 0) with targets that
+// BenchmarkChooseWarmUp compares the path without a limit (rate 0) with targets that
 // are all in warm-up with a limit.
-func BenchmarkChoose(b *testing.B) {
+func BenchmarkChooseWarmUp(b *testing.B) {
 	for _, n := range []int{30, 150, 600} {
 		for _, rate := range []float64{0, 50} {
 			var list []hsfeed.TargetRecord
