hsdirect: TestEntry waits for the first failed call to the store

Cause: with -race on a busy machine, the readiness check could be answered before the reader task made its first call; the store then answered, and the line "cannot read the store" that the test expects was missing (3 of 75 runs). A sleep of 60 ms in the reader task gives the same failure. Change: the store becomes available after the first call has failed. The checks are the same.

--- a/internal/hsdirect/entry_test.go
+++ b/internal/hsdirect/entry_test.go
@@ -165,6 +165,9 @@
 	g.Go(func() error { return e.Run(ctx) })
 	status, _ := get(t, ready, "/ready")
 	assert.Equal(t, status, http.StatusServiceUnavailable)
+	for end := time.Now().Add(testTimeout); e.storeFailures.Load() == 0; time.Sleep(time.Millisecond) {
+		assert.Assert(t, time.Now().Before(end), "no call to the store failed within the time limit")
+	}
 	close(store.available)
 	awaitStatus(t, ready, http.StatusOK)
 
