hsdirect: a host that begins to read the store believes its first failed call

Most hosts of the zone waited 1.2 s after their call to the store had failed. Change: a reported failure counts at once; the wait remains for the host that read the store before, whose failure is not reported.

--- a/internal/hsdirect/core.go
+++ b/internal/hsdirect/core.go
@@ -378,6 +378,7 @@
 // tells peers if that changed.
 func (c *Core) SetStoreAvailable(now time.Time, available bool) Output {
 	c.storeUnavailable = !available
+	c.isolation.callFailed = !available && c.isolation.checking
 	c.checkIsolation(now)
 	if !available && c.store.source == c.self {
 		c.store.interrupt()
--- a/internal/hsdirect/isolation.go
+++ b/internal/hsdirect/isolation.go
@@ -20,6 +20,8 @@
 	// Since when the store has been unavailable to the host during the check; zero if
 	// it is available.
 	unavailableSince time.Time
+	// True if a call to the store has failed during the check.
+	callFailed bool
 	// Last result given to the data task.
 	cutOff bool
 }
@@ -29,8 +31,9 @@
 	// host checks whether it is cut off. In any deployment, a host receives several
 	// messages a second from other zones.
 	remoteSilence = time.Second
-	// storeCheckTime is the time for which the store has to be unavailable: the time
-	// limits of a connection and of an answer, after which a call has failed.
+	// storeCheckTime is the time for which the store has to be unavailable if no
+	// failure of a call was reported, as on a host that read the store before: the
+	// time limits of a connection and of an answer, after which a call has failed.
 	storeCheckTime = 1200 * time.Millisecond
 )
 
@@ -57,11 +60,11 @@
 	i.checking = isolated
 	switch {
 	case !isolated || !c.reader || !c.storeUnavailable:
-		i.unavailableSince = time.Time{}
+		i.unavailableSince, i.callFailed = time.Time{}, false
 	case i.unavailableSince.IsZero():
 		i.unavailableSince = now
 	}
-	cutOff := !i.unavailableSince.IsZero() && now.Sub(i.unavailableSince) >= storeCheckTime
+	cutOff := !i.unavailableSince.IsZero() && (i.callFailed || now.Sub(i.unavailableSince) >= storeCheckTime)
 	if cutOff != i.cutOff {
 		i.cutOff = cutOff
 		c.out.CutOff = cutOff
