--- a/internal/hsdirect/control.go
+++ b/internal/hsdirect/control.go
@@ -253,6 +253,9 @@
 	if out.ReaderChanged || out.Relist {
 		c.notifyReader(out.Relist)
 	}
+	for _, err := range out.Invalid {
+		c.e.log(log.WarnLevel, err.Code).Str("event", err.Path).Str("detail", err.Detail).Msg("ignoring invalid event of a peer")
+	}
 	for _, code := range out.Codes {
 		c.counts[code]++
 	}
--- a/internal/hsdirect/core.go
+++ b/internal/hsdirect/core.go
@@ -80,6 +80,8 @@
 		HostCount int
 		// Result codes to count.
 		Codes []hscode.Code
+		// Events of peers that were not applied.
+		Invalid hscode.Errors
 	}
 
 	// Core holds the list of peers and the published state. It decides whether
@@ -390,9 +392,10 @@
 // applyPush applies an update that a peer sent without a request. If earlier
 // changes are missing here, it fetches them from that peer.
 func (c *Core) applyPush(now time.Time, hb *hsschema.Heartbeat, from netip.Addr) {
-	u, ok := hsfeed.FromProto(hb.GetUpdate())
-	if !ok {
+	u, errs := hsfeed.FromProto(hb.GetUpdate())
+	if len(errs) > 0 {
 		c.countCode(hscode.PeerMessage)
+		c.out.Invalid = append(c.out.Invalid, errs...)
 		return
 	}
 	if code := c.applyPeerUpdate(now, &u); code == hscode.PeerGap {
--- a/internal/hsdirect/explore_test.go
+++ b/internal/hsdirect/explore_test.go
@@ -400,7 +400,7 @@
 				return
 			}
 			x.send(peer, h, func() {
-				if decoded, valid := hsfeed.FromProto(hsfeed.ToProto(&u)); valid && h.core == core {
+				if decoded, errs := hsfeed.FromProto(hsfeed.ToProto(&u)); len(errs) == 0 && h.core == core {
 					x.apply(h, core.ApplyFetchedUpdate(x.now, &decoded))
 				}
 			})
--- a/internal/hsdirect/peer.go
+++ b/internal/hsdirect/peer.go
@@ -83,9 +83,9 @@
 	if res.Msg.GetUpdate() == nil {
 		return nil, nil
 	}
-	u, ok := hsfeed.FromProto(res.Msg.GetUpdate())
-	if !ok {
-		return nil, hscode.New(hscode.PeerMessage, f.From.String(), "sent an invalid update")
+	u, errs := hsfeed.FromProto(res.Msg.GetUpdate())
+	if len(errs) > 0 {
+		return nil, hscode.New(hscode.PeerMessage, f.From.String(), "sent an invalid update: %s: %s", errs[0].Path, errs[0].Detail)
 	}
 	return &u, nil
 }
--- a/internal/hsfeed/proto.go
+++ b/internal/hsfeed/proto.go
@@ -1,10 +1,12 @@
 package hsfeed
 
 import (
+	"fmt"
 	"math"
 	"net/netip"
 	"time"
 
+	"heatherstack.org/heatherstack/internal/hscode"
 	"heatherstack.org/heatherstack/internal/hsschema"
 )
 
@@ -24,18 +26,30 @@
 	return out
 }
 
-// FromProto converts a protobuf message to an update. It returns false if the
-// message is not valid.
-func FromProto(m *hsschema.Update) (Update, bool) {
+// FromProto converts a protobuf message to an update. If the message is not
+// valid, it returns an error for its first invalid event, with code PeerMessage.
+func FromProto(m *hsschema.Update) (Update, hscode.Errors) {
 	u := Update{Era: m.GetEra(), Since: m.GetSince(), Revision: m.GetRevision()}
 	for _, e := range m.GetEvents() {
-		ev, ok := eventFromProto(e)
-		if !ok {
-			return Update{}, false
+		ev, reason := eventFromProto(e)
+		if reason != "" {
+			return Update{}, hscode.Errors{hscode.New(hscode.PeerMessage, eventPath(e), "%s", reason)}
 		}
 		u.Events = append(u.Events, ev)
 	}
-	return u, true
+	return u, nil
+}
+
+// eventPath returns the place of an event in error messages: its revision and
+// what it changes.
+func eventPath(e *hsschema.Event) string {
+	switch c := e.GetChange().(type) {
+	case *hsschema.Event_Configuration:
+		return fmt.Sprintf("revision %d, configuration %d", e.GetRevision(), c.Configuration.GetVersion())
+	case *hsschema.Event_Target:
+		return fmt.Sprintf("revision %d, target %d", e.GetRevision(), c.Target.GetId())
+	}
+	return fmt.Sprintf("revision %d", e.GetRevision())
 }
 
 func eventToProto(ev *Event) *hsschema.Event {
@@ -56,25 +70,28 @@
 	return out
 }
 
-func eventFromProto(e *hsschema.Event) (Event, bool) {
+// eventFromProto returns the event, or the reason why it is invalid.
+func eventFromProto(e *hsschema.Event) (Event, string) {
 	out := Event{Era: e.GetEra(), Revision: e.GetRevision()}
-	ok := true
+	reason := ""
 	switch c := e.GetChange().(type) {
 	case *hsschema.Event_Configuration:
-		out.Configuration, ok = configurationFromProto(c.Configuration)
+		out.Configuration, reason = configurationFromProto(c.Configuration)
 	case *hsschema.Event_Target:
-		out.Target, ok = targetFromProto(c.Target)
+		out.Target, reason = targetFromProto(c.Target)
 	case *hsschema.Event_Evacuation:
 		m := c.Evacuation
 		out.Evacuation = &Evacuation{Zone: m.GetZone(), Ended: m.GetEnded(), Requested: m.GetRequested()}
-		ok = m.GetZone() != ""
+		if m.GetZone() == "" {
+			reason = "evacuation has no zone"
+		}
 	case *hsschema.Event_Gone:
 		out.Removed = TargetID(c.Gone)
 		out.RemovedStamp = Stamp{StartUnixMilli: e.GetBorn(), Draining: e.GetDraining()}
 	default:
-		return out, false
+		reason = "unknown kind of change"
 	}
-	return out, ok
+	return out, reason
 }
 
 func targetToProto(t *Target) *hsschema.Backend {
@@ -90,10 +107,13 @@
 	}
 }
 
-func targetFromProto(b *hsschema.Backend) (*Target, bool) {
+func targetFromProto(b *hsschema.Backend) (*Target, string) {
 	addr, err := netip.ParseAddrPort(b.GetAddress())
-	if err != nil || b.GetSlots() == 0 {
-		return nil, false
+	switch {
+	case err != nil:
+		return nil, err.Error()
+	case b.GetSlots() == 0:
+		return nil, "slots: 0"
 	}
 	return &Target{
 		ID:             TargetID(b.GetId()),
@@ -104,7 +124,7 @@
 		Draining:       b.GetDraining(),
 		WarmUp:         fromMilliseconds(b.GetCold()),
 		StartUnixMilli: b.GetBorn(),
-	}, true
+	}, ""
 }
 
 func configurationToProto(c *Configuration) *hsschema.Configuration {
@@ -118,19 +138,19 @@
 	return out
 }
 
-func configurationFromProto(m *hsschema.Configuration) (*Configuration, bool) {
+func configurationFromProto(m *hsschema.Configuration) (*Configuration, string) {
 	out := &Configuration{Version: m.GetVersion(), IdleTimeout: fromMilliseconds(m.GetIdle())}
 	for _, r := range m.GetRoutes() {
 		route, ok := routeFromProto(r)
 		if !ok {
-			return nil, false
+			return nil, "invalid route " + r.GetAddress()
 		}
 		out.Routes = append(out.Routes, route)
 	}
 	for _, s := range m.GetServices() {
 		out.Services = append(out.Services, serviceFromProto(s))
 	}
-	return out, true
+	return out, ""
 }
 
 func serviceToProto(s *Service) *hsschema.Pool {
