hsfeed, platform: hosts accept only values that reach their peers unchanged

Cause: the decoder of the store and the messages between hosts had different ideas of a valid target. The reader listed the entry, the message keeps 32 bits of the capacity, and 0 is invalid there, so that peers rejected the update.

Change: one set of limits in hsfeed (Check), which the decoder of the store and that of peers' messages both use. Counts out of range, port 0 and addresses that are not unicast make an entry invalid; durations are limited to their range, since their entry still names a target.

--- a/internal/hsfeed/proto.go
+++ b/internal/hsfeed/proto.go
@@ -6,13 +6,12 @@
 	"net/netip"
 	"time"
 
+	"github.com/juju/errors"
+
 	"heatherstack.org/heatherstack/internal/hscode"
 	"heatherstack.org/heatherstack/internal/hsschema"
 )
 
-// rateUnits is the unit of rates in messages: thousandths of flows a second.
-const rateUnits = 1000
-
 // ToProto converts an update to its protobuf message, without Update.Errors.
 func ToProto(u *Update) *hsschema.Update {
 	out := &hsschema.Update{Era: u.Era, Since: u.Since, Revision: u.Revision}
@@ -31,9 +30,9 @@
 func FromProto(m *hsschema.Update) (Update, hscode.Errors) {
 	u := Update{Era: m.GetEra(), Since: m.GetSince(), Revision: m.GetRevision()}
 	for _, e := range m.GetEvents() {
-		ev, reason := eventFromProto(e)
-		if reason != "" {
-			return Update{}, hscode.Errors{hscode.New(hscode.PeerMessage, eventPath(e), "%s", reason)}
+		ev, err := eventFromProto(e)
+		if err != nil {
+			return Update{}, hscode.Errors{hscode.New(hscode.PeerMessage, eventPath(e), "%v", err)}
 		}
 		u.Events = append(u.Events, ev)
 	}
@@ -70,28 +69,28 @@
 	return out
 }
 
-// eventFromProto returns the event, or the reason why it is invalid.
-func eventFromProto(e *hsschema.Event) (Event, string) {
+// eventFromProto returns the event, or an error that says why it is invalid.
+func eventFromProto(e *hsschema.Event) (Event, error) {
 	out := Event{Era: e.GetEra(), Revision: e.GetRevision()}
-	reason := ""
+	var err error
 	switch c := e.GetChange().(type) {
 	case *hsschema.Event_Configuration:
-		out.Configuration, reason = configurationFromProto(c.Configuration)
+		out.Configuration = configurationFromProto(c.Configuration)
+		err = out.Configuration.Check()
 	case *hsschema.Event_Target:
-		out.Target, reason = targetFromProto(c.Target)
+		out.Target = targetFromProto(c.Target)
+		err = out.Target.Check()
 	case *hsschema.Event_Evacuation:
 		m := c.Evacuation
 		out.Evacuation = &Evacuation{Zone: m.GetZone(), Ended: m.GetEnded(), Requested: m.GetRequested()}
-		if m.GetZone() == "" {
-			reason = "evacuation has no zone"
-		}
+		err = out.Evacuation.Check()
 	case *hsschema.Event_Gone:
 		out.Removed = TargetID(c.Gone)
 		out.RemovedStamp = Stamp{StartUnixMilli: e.GetBorn(), Draining: e.GetDraining()}
 	default:
-		reason = "unknown kind of change"
+		err = errors.New("unknown kind of change")
 	}
-	return out, reason
+	return out, err
 }
 
 func targetToProto(t *Target) *hsschema.Backend {
@@ -107,24 +106,27 @@
 	}
 }
 
-func targetFromProto(b *hsschema.Backend) (*Target, string) {
-	addr, err := netip.ParseAddrPort(b.GetAddress())
-	switch {
-	case err != nil:
-		return nil, err.Error()
-	case b.GetSlots() == 0:
-		return nil, "slots: 0"
-	}
+func targetFromProto(b *hsschema.Backend) *Target {
 	return &Target{
 		ID:             TargetID(b.GetId()),
 		Service:        b.GetService(),
-		Address:        addr,
+		Address:        addressFromProto(b.GetAddress()),
 		Zone:           b.GetZone(),
 		Slots:          int(b.GetSlots()),
 		Draining:       b.GetDraining(),
 		WarmUp:         fromMilliseconds(b.GetCold()),
 		StartUnixMilli: b.GetBorn(),
-	}, ""
+	}
+}
+
+// addressFromProto returns the zero AddrPort, which is not valid, for a text that
+// is no address and port.
+func addressFromProto(text string) netip.AddrPort {
+	at, err := netip.ParseAddrPort(text)
+	if err != nil {
+		return netip.AddrPort{}
+	}
+	return at
 }
 
 func configurationToProto(c *Configuration) *hsschema.Configuration {
@@ -138,19 +140,15 @@
 	return out
 }
 
-func configurationFromProto(m *hsschema.Configuration) (*Configuration, string) {
+func configurationFromProto(m *hsschema.Configuration) *Configuration {
 	out := &Configuration{Version: m.GetVersion(), IdleTimeout: fromMilliseconds(m.GetIdle())}
 	for _, r := range m.GetRoutes() {
-		route, ok := routeFromProto(r)
-		if !ok {
-			return nil, "invalid route " + r.GetAddress()
-		}
-		out.Routes = append(out.Routes, route)
+		out.Routes = append(out.Routes, routeFromProto(r))
 	}
 	for _, s := range m.GetServices() {
 		out.Services = append(out.Services, serviceFromProto(s))
 	}
-	return out, ""
+	return out
 }
 
 func serviceToProto(s *Service) *hsschema.Pool {
@@ -159,7 +157,7 @@
 		Health:      s.HealthPath,
 		Connections: uint32(s.MaxConnections),
 		Cold:        toMilliseconds(s.WarmUpTime),
-		Rate:        uint32(math.Ceil(s.WarmUpRate * rateUnits)),
+		Rate:        uint32(math.Round(s.WarmUpRate * rateUnits)),
 	}
 }
 
@@ -188,13 +186,9 @@
 	return out
 }
 
-func routeFromProto(m *hsschema.Route) (Route, bool) {
-	at, err := netip.ParseAddrPort(m.GetAddress())
-	if err != nil || len(m.GetShares()) == 0 {
-		return Route{}, false
-	}
+func routeFromProto(m *hsschema.Route) Route {
 	out := Route{
-		Address:          at,
+		Address:          addressFromProto(m.GetAddress()),
 		Timeout:          fromMilliseconds(m.GetTimeout()),
 		LatencyObjective: fromMilliseconds(m.GetAim()),
 		Priority:         int(m.GetPriority()),
@@ -202,12 +196,9 @@
 		PreviousServices: m.GetEarlier(),
 	}
 	for _, s := range m.GetShares() {
-		if s.GetWeight() == 0 {
-			return Route{}, false
-		}
 		out.Shares = append(out.Shares, Share{Service: s.GetService(), Weight: s.GetWeight()})
 	}
-	return out, true
+	return out
 }
 
 func toMilliseconds(d time.Duration) uint32 { return uint32(d / time.Millisecond) }
