hsfeed, hsdirect: an invalid event of a peer costs no other event

Cause: FromProto rejected a whole update for one event. The follower stayed at its revision, asked for all later changes again, and got the same event with each of them, for as long as the peer's log held it. While a fleet is being upgraded, readers of the previous release still send such events, and a later release may send kinds of changes that this one does not know.

Change: each event is judged alone. An invalid entry of a target removes the target, as it does where the store has it; everything else holds and the position advances. The peer's digest covers what was rejected, so that the states differ; that digest is not fetched again for mergedTime.

--- a/internal/hsdirect/control.go
+++ b/internal/hsdirect/control.go
@@ -23,9 +23,9 @@
 	controlMessage struct {
 		heartbeat *hsschema.Heartbeat
 		from      netip.Addr
-		// Update read from the store or, if peer is set, received from a peer.
+		// Update read from the store or, if fetch is set, a peer's response to it.
 		update *hsfeed.Update
-		peer   bool
+		fetch  *Fetch
 		// Whether the store is available; valid if storeAvailableSet.
 		storeAvailable    bool
 		storeAvailableSet bool
@@ -144,8 +144,8 @@
 	switch {
 	case m.heartbeat != nil:
 		c.applyOutput(ctx, c.core.Receive(now, m.heartbeat, m.from))
-	case m.update != nil && m.peer:
-		c.applyOutput(ctx, c.core.ApplyFetchedUpdate(now, m.update))
+	case m.update != nil && m.fetch != nil:
+		c.applyOutput(ctx, c.core.ApplyFetchedUpdate(now, m.fetch, m.update))
 	case m.update != nil:
 		c.logStoreUpdate(m.update)
 		c.applyOutput(ctx, c.core.ApplyStoreUpdate(now, m.update))
@@ -253,9 +253,7 @@
 	if out.ReaderChanged || out.Relist {
 		c.notifyReader(out.Relist)
 	}
-	for _, err := range out.Invalid {
-		c.e.log(log.WarnLevel, err.Code).Str("event", err.Path).Str("detail", err.Detail).Msg("ignoring invalid event of a peer")
-	}
+	c.e.logInvalid("event", "ignoring invalid event of a peer", out.Invalid)
 	for _, code := range out.Codes {
 		c.counts[code]++
 	}
--- a/internal/hsdirect/core.go
+++ b/internal/hsdirect/core.go
@@ -46,6 +46,9 @@
 	Fetch struct {
 		From  netip.Addr
 		Since hsfeed.Position
+		// Digest of the peer's state, if the fetch is made because the states differ
+		// at the same position; 0 otherwise.
+		Digest uint64
 	}
 
 	// Output is the result of one call of a Core: what changed, and the messages
@@ -80,7 +83,7 @@
 		HostCount int
 		// Result codes to count.
 		Codes []hscode.Code
-		// Events of peers that were not applied.
+		// Invalid events of peers.
 		Invalid hscode.Errors
 	}
 
@@ -330,11 +333,11 @@
 	case out.NewerPeer != "" && c.state.Adopt(now, c.peerPosition(hb.GetEra(), hb.GetVersion()), digest):
 		c.announceState()
 	case out.NewerPeer != "" && c.state.Position().Era == 0 && hb.GetEra() != 0:
-		c.requestFetch(now, from, hsfeed.Position{})
+		c.requestFetch(now, Fetch{From: from})
 	case out.NewerPeer != "":
-		c.requestFetch(now, from, c.state.Position())
+		c.requestFetch(now, Fetch{From: from, Since: c.state.Position()})
 	case out.DivergentPeer != "" && digest != 0 && !c.merged[digest]:
-		c.requestFetch(now, from, hsfeed.Position{})
+		c.requestFetch(now, Fetch{From: from, Digest: digest})
 	}
 }
 
@@ -356,10 +359,15 @@
 }
 
 // ApplyFetchedUpdate applies a peer's response to a fetch.
-func (c *Core) ApplyFetchedUpdate(now time.Time, u *hsfeed.Update) Output {
+func (c *Core) ApplyFetchedUpdate(now time.Time, f *Fetch, u *hsfeed.Update) Output {
 	c.applyPeerUpdate(now, u)
 	if u.Since == 0 && c.peerPosition(u.Era, u.Revision) == c.state.Position() {
 		c.merged[u.Digest()] = true
+		if len(u.Errors) > 0 {
+			// The peer's digest covers the invalid events, so that the states will
+			// differ until the peer no longer has them.
+			c.merged[f.Digest] = true
+		}
 	}
 	c.relayFetched()
 	return c.takeOutput()
@@ -368,6 +376,10 @@
 // applyPeerUpdate applies an update from a peer. If this host is a reader, the
 // store has to deliver the same changes soon; see checkStoreLag.
 func (c *Core) applyPeerUpdate(now time.Time, u *hsfeed.Update) hscode.Code {
+	for _, err := range u.Errors {
+		c.countCode(err.Code)
+	}
+	c.out.Invalid = append(c.out.Invalid, u.Errors...)
 	before := c.state.Position()
 	code := c.applyUpdate(now, u)
 	if c.reader && before.Revision > 0 && c.state.Position().After(before) && c.storeBehindSince.IsZero() {
@@ -392,14 +404,9 @@
 // applyPush applies an update that a peer sent without a request. If earlier
 // changes are missing here, it fetches them from that peer.
 func (c *Core) applyPush(now time.Time, hb *hsschema.Heartbeat, from netip.Addr) {
-	u, errs := hsfeed.FromProto(hb.GetUpdate())
-	if len(errs) > 0 {
-		c.countCode(hscode.PeerMessage)
-		c.out.Invalid = append(c.out.Invalid, errs...)
-		return
-	}
+	u := hsfeed.FromProto(hb.GetUpdate())
 	if code := c.applyPeerUpdate(now, &u); code == hscode.PeerGap {
-		c.requestFetch(now, from, c.state.Position())
+		c.requestFetch(now, Fetch{From: from, Since: c.state.Position()})
 	}
 }
 
@@ -460,12 +467,12 @@
 	}
 }
 
-func (c *Core) requestFetch(now time.Time, from netip.Addr, since hsfeed.Position) {
+func (c *Core) requestFetch(now time.Time, f Fetch) {
 	if now.Sub(c.lastFetch) < minFetchInterval {
 		return
 	}
 	c.lastFetch = now
-	c.out.Fetches = append(c.out.Fetches, Fetch{From: from, Since: since})
+	c.out.Fetches = append(c.out.Fetches, f)
 }
 
 func (c *Core) send(to string, hb *hsschema.Heartbeat) {
--- a/internal/hsdirect/peer.go
+++ b/internal/hsdirect/peer.go
@@ -66,7 +66,7 @@
 		return
 	}
 	select {
-	case e.toControl <- controlMessage{update: u, peer: true}:
+	case e.toControl <- controlMessage{update: u, fetch: &f}:
 	case <-ctx.Done():
 	}
 }
@@ -83,10 +83,7 @@
 	if res.Msg.GetUpdate() == nil {
 		return nil, nil
 	}
-	u, errs := hsfeed.FromProto(res.Msg.GetUpdate())
-	if len(errs) > 0 {
-		return nil, hscode.New(hscode.PeerMessage, f.From.String(), "sent an invalid update: %s: %s", errs[0].Path, errs[0].Detail)
-	}
+	u := hsfeed.FromProto(res.Msg.GetUpdate())
 	return &u, nil
 }
 
--- a/internal/hsdirect/reader.go
+++ b/internal/hsdirect/reader.go
@@ -104,9 +104,7 @@
 		r.handleFailure(ctx, err)
 		return
 	}
-	for _, e := range u.Errors {
-		r.e.log(log.WarnLevel, e.Code).Str("key", e.Path).Str("detail", e.Detail).Msg("ignoring invalid entry in the store")
-	}
+	r.e.logInvalid("key", "ignoring invalid entry in the store", u.Errors)
 	r.reportAvailability(ctx, true)
 	if u.Since > 0 {
 		r.relisted = false
--- a/internal/hsdirect/relay_test.go
+++ b/internal/hsdirect/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -127,3 +128,41 @@
 		assert.Equal(t, updates(), 0)
 	}
 }
+
+// TestInvalidEntryOfPeer guards against hosts that stop following a peer, or that
+// fetch its state again and again, while that peer lists an entry which they
+// reject, as a reader of the previous release does.
+func TestInvalidEntryOfPeer(t *testing.T) {
+	for _, padding := range []int{0, maxInlineUpdateSize} {
+		c := newCluster(t, "a", "a", "a", "b", "b")
+		c.advanceWithLoads(5 * time.Second)
+		list := func(target hsfeed.Target) {
+			r := c.store.Revision() + 1
+			target.Service, target.Zone, target.Address = "desk", "a", netip.MustParseAddrPort("10.0.1.1:80")
+			c.store.Apply(c.now, &hsfeed.Update{Era: 1, Since: r - 1, Revision: r, Events: []hsfeed.Event{{Revision: r, Target: &target}}})
+		}
+		list(hsfeed.Target{ID: 1, Slots: 3})
+		list(hsfeed.Target{ID: 2, Slots: 1 << 32})
+		for id := range padding {
+			list(hsfeed.Target{ID: hsfeed.TargetID(10 + id), Slots: 3})
+		}
+		c.advanceWithLoads(2 * time.Second)
+		list(hsfeed.Target{ID: 1, Slots: 3, Draining: true})
+		c.advanceWithLoads(2 * time.Second)
+		lists := 0
+		for _, h := range c.hosts {
+			assert.Equal(t, h.core.State().Revision(), c.store.Revision(), "%s", h.addr)
+			targets := h.core.State().Targets()
+			assert.Assert(t, targets[0].ID == 1 && targets[0].Draining, "%s", h.addr)
+			if slices.ContainsFunc(targets, func(r hsfeed.TargetRecord) bool { return r.ID == 2 }) {
+				assert.Assert(t, h.core.IsReader(), "%s", h.addr)
+				lists++
+			}
+		}
+		assert.Assert(t, lists > 0, "no host stands for the previous release")
+		before := c.fetches
+		const calm = 60 * time.Second
+		c.advanceWithLoads(calm)
+		assert.Assert(t, c.fetches-before <= 2*len(c.hosts)*int(1+calm/mergedTime), "%d fetches in calm", c.fetches-before)
+	}
+}
--- a/internal/hsfeed/proto.go
+++ b/internal/hsfeed/proto.go
@@ -25,18 +25,25 @@
 	return out
 }
 
-// FromProto converts a protobuf message to an update. If the message is not
-// valid, it returns an error for its first invalid event, with code PeerMessage.
-func FromProto(m *hsschema.Update) (Update, hscode.Errors) {
+// FromProto converts a protobuf message to an update. Update.Errors has an error
+// with code PeerMessage for each invalid event. If one lists a target, the target
+// is removed, as it is where the store has an invalid entry for it; other invalid
+// events have no effect. The valid events hold in either case: a peer sends an
+// event again with every later one, so that rejecting the whole message would
+// keep this host from following for good.
+func FromProto(m *hsschema.Update) Update {
 	u := Update{Era: m.GetEra(), Since: m.GetSince(), Revision: m.GetRevision()}
 	for _, e := range m.GetEvents() {
 		ev, err := eventFromProto(e)
 		if err != nil {
-			return Update{}, hscode.Errors{hscode.New(hscode.PeerMessage, eventPath(e), "%v", err)}
+			u.Errors = append(u.Errors, hscode.New(hscode.PeerMessage, eventPath(e), "%v", err))
+			ev = Event{Era: e.GetEra(), Revision: e.GetRevision(), Removed: TargetID(e.GetTarget().GetId())}
+		}
+		if err == nil || ev.Removed != 0 {
+			u.Events = append(u.Events, ev)
 		}
-		u.Events = append(u.Events, ev)
 	}
-	return u, nil
+	return u
 }
 
 // eventPath returns the place of an event in error messages: its revision and
--- a/internal/hsfeed/types.go
+++ b/internal/hsfeed/types.go
@@ -136,7 +136,8 @@
 		// are in any order, and some may have a higher revision than the update,
 		// since the store lists its items page by page while they change.
 		Events []Event
-		// Items of the store that could not be decoded. Not sent to other hosts.
+		// Items of the store, or events of a peer, that are invalid. Not sent to
+		// other hosts.
 		Errors hscode.Errors
 	}
 
