hscode: errors keep at most 512 bytes of detail

Operators: an entry with a number or an address of 512 KiB brought a log line of 524,554 bytes from each reader, since the decoder's error quotes the value; a list with many such entries would have kept all of these texts until they were logged.

Change: New cuts the detail, which covers every error about an input.

--- a/internal/hscode/hscode.go
+++ b/internal/hscode/hscode.go
@@ -30,7 +30,7 @@
 		// Place in the input, for example services[2].port or the name of a
 		// setting.
 		Path string
-		// What is wrong there.
+		// What is wrong there; at most maxDetail bytes.
 		Detail string
 	}
 
@@ -117,6 +117,11 @@
 	ProcessReload Code = 7004
 )
 
+// maxDetail is the maximum size of Error.Detail in bytes. Errors of decoders quote
+// values from outside, which may have any size, and thousands of them are kept
+// until they are logged.
+const maxDetail = 512
+
 // Table describes all codes, in ascending order.
 var Table = []Info{
 	{OK, "ok", "Success.", "Nothing."},
@@ -201,9 +206,14 @@
 	return fmt.Sprintf("%d %s", uint16(c), Lookup(c).Name)
 }
 
-// New returns an error with code c about path; format and args form its detail.
+// New returns an error with code c about path; format and args form its detail,
+// which is cut to maxDetail.
 func New(c Code, path, format string, args ...any) *Error {
-	return &Error{Code: c, Path: path, Detail: fmt.Sprintf(format, args...)}
+	detail := fmt.Sprintf(format, args...)
+	if len(detail) > maxDetail {
+		detail = strings.ToValidUTF8(strings.Clone(detail[:maxDetail]), "")
+	}
+	return &Error{Code: c, Path: path, Detail: detail}
 }
 
 // Of returns the code of err, or fallback if err has none.
--- a/internal/hscode/hscode_test.go
+++ b/internal/hscode/hscode_test.go
@@ -29,3 +29,11 @@
 	}
 	return b.String()
 }
+
+// TestDetailIsBounded guards against errors that keep values of any size from
+// outside in memory and in the log.
+func TestDetailIsBounded(t *testing.T) {
+	assert.Equal(t, New(PlatformEntry, "key", "is %d", 7).Detail, "is 7")
+	long := New(PlatformEntry, "key", "x%s", strings.Repeat("é", maxDetail)).Detail
+	assert.Equal(t, long, "x"+strings.Repeat("é", maxDetail/2-1))
+}
