hssoak: another program leaves odd entries in the store

Beside the other faults, entries with one fault each (out of range, of another type, deeply nested, up to 512 KiB) are written and removed under keys that no target has.

--- a/internal/hssoak/soak.go
+++ b/internal/hssoak/soak.go
@@ -4,7 +4,8 @@
 // off or slow down the connections to the store; the store drops its history, or
 // is restored from a copy; targets drain, crash, become unresponsive and hand
 // their addresses to other targets; new configurations are published, some in
-// quick succession; and zones are evacuated.
+// quick succession; zones are evacuated; and another program leaves odd entries
+// among those of the targets.
 package hssoak
 
 import (
@@ -45,6 +46,9 @@
 	Store interface {
 		http.Handler
 		Publish(ev *hsfeed.Event) uint64
+		// PublishOdd writes an entry under a target's key that names no target to
+		// use, and returns what is wrong with it.
+		PublishOdd(t *hsfeed.Target, rng *rand.Rand) string
 		DropHistory()
 		// Copy copies the content; the returned function restores the copy.
 		Copy() (restore func())
@@ -202,6 +206,12 @@
 		s.evacuateZones(ctx, end)
 		return nil
 	})
+	if !s.cfg.OnlyEvacuations {
+		running.Go(func() error {
+			s.leaveOddEntries(ctx, end)
+			return nil
+		})
+	}
 	for time.Now().Before(end) && ctx.Err() == nil && !s.cfg.OnlyEvacuations {
 		s.copyStore()
 		f := faults[plan.IntN(len(faults))]
