--- a/internal/hssoak/oddentry.go
+++ b/internal/hssoak/oddentry.go
@@ -6,6 +6,8 @@
 	"net/netip"
 	"time"
 
+	"github.com/juju/errors"
+
 	"heatherstack.org/heatherstack/internal/hsfeed"
 	"heatherstack.org/heatherstack/internal/hstask"
 )
@@ -18,6 +20,37 @@
 	maxOddInterval = 1500 * time.Millisecond
 )
 
+// startOddTargets listens where odd entries point to. A packet that arrives there
+// is a violation.
+func (s *soak) startOddTargets(ctx context.Context) error {
+	for n := range oddCount {
+		conn, err := hstask.ListenUDP(s.oddAddr(n))
+		if err != nil {
+			return errors.Trace(err)
+		}
+		s.g.Go(func() error {
+			<-ctx.Done()
+			// Ends the loop below.
+			return conn.Close()
+		})
+		s.g.Go(func() error {
+			buf := make([]byte, maxPacketSize)
+			for {
+				_, from, err := conn.ReadFromUDPAddrPort(buf)
+				if err != nil {
+					return nil
+				}
+				s.checker.fail("%s sent a packet to the target of an odd entry", from)
+			}
+		})
+	}
+	return nil
+}
+
+func (s *soak) oddAddr(n int) netip.AddrPort {
+	return netip.AddrPortFrom(s.addr(5, byte(1+n)), targetPort)
+}
+
 // leaveOddEntries writes odd entries until the given time, each in place of an
 // earlier one, and removes some. No host may use what they name, follow later
 // changes late because of them, or end. Like the evacuations it has a generator
@@ -33,8 +66,7 @@
 		} else {
 			fault := s.cfg.Store.PublishOdd(&hsfeed.Target{
 				ID: id, Service: services[rng.IntN(len(services))], Zone: zoneName(rng.IntN(zoneCount)), Slots: targetSlots,
-				// No target runs there.
-				Address: netip.AddrPortFrom(s.addr(5, byte(1+n)), targetPort),
+				Address: s.oddAddr(n),
 			}, rng)
 			s.trace("odd entry %x: %s", uint64(id), fault)
 		}
--- a/internal/hssoak/soak.go
+++ b/internal/hssoak/soak.go
@@ -177,6 +177,9 @@
 			return errors.Trace(err)
 		}
 	}
+	if err := s.startOddTargets(ctx); err != nil {
+		return errors.Trace(err)
+	}
 	s.publishConfiguration()
 	s.copyStore()
 	for _, h := range s.hosts {
@@ -264,7 +267,7 @@
 }
 
 // addr returns a loopback address. kind is 0 for entry hosts, 1 for targets, 2
-// for callers, 3 for the proxies and 4 for the store.
+// for callers, 3 for the proxies, 4 for the store and 5 for odd entries.
 func (s *soak) addr(kind, n byte) netip.Addr {
 	return netip.AddrFrom4([4]byte{127, s.cfg.Subnet, kind, n})
 }
