--- a/internal/hssoak/soak_test.go
+++ b/internal/hssoak/soak_test.go
@@ -25,9 +25,14 @@
 // same result on a busy machine.
 const busySlack = 30 * time.Second
 
-// evacuationSeed is the seed of a run whose first evacuation is that of the first
-// host's zone and lasts 9 s.
-const evacuationSeed = 6
+const (
+	// evacuationSeed is the seed of a run whose first evacuation is that of the first
+	// host's zone and lasts 9 s.
+	evacuationSeed = 6
+	// oddEntrySeed is the seed of a run that leaves one odd entry, whose capacity is
+	// 2^32-1.
+	oddEntrySeed = 133
+)
 
 // TestSoak runs real hsdirect processes under a few seconds of random faults.
 func TestSoak(t *testing.T) {
@@ -46,33 +51,53 @@
 
 // TestSoakDetectsIgnoredEvacuation guards against a soak that passes although one host ignores evacuations. The fault is built into the program of that host.
 func TestSoakDetectsIgnoredEvacuation(t *testing.T) {
+	rep := runWithFault(t, hssoak.Config{OnlyEvacuations: true, Seed: evacuationSeed}, "../hsdirect/data.go", "if m.evacuatedSet {", "if false {")
+	assert.Assert(t, countViolations(rep, "after its evacuation was requested") > 0, "%+v", *rep)
+}
+
+// TestSoakDetectsUsedOddEntry guards against a soak that passes although one host
+// uses a target whose entry is out of range. The fault is built into the program
+// of that host.
+func TestSoakDetectsUsedOddEntry(t *testing.T) {
+	rep := runWithFault(t, hssoak.Config{Seed: oddEntrySeed, Slack: busySlack}, "../../platform/entry.go", "err := t.Check(); err != nil", "err := t.Check(); err != nil && t.ID == 0")
+	assert.Assert(t, countViolations(rep, "the target of an odd entry") > 0, "%+v", *rep)
+}
+
+// runWithFault runs a short soak with one host in each zone. The source of the
+// first one has a text replaced.
+func runWithFault(t *testing.T, cfg hssoak.Config, file, old, replacement string) *hssoak.Report {
+	t.Helper()
 	folder := t.TempDir()
-	source, err := filepath.Abs("../hsdirect/data.go")
+	source, err := filepath.Abs(file)
 	assert.NilError(t, err)
 	code, err := os.ReadFile(source)
 	assert.NilError(t, err)
-	faulty := strings.Replace(string(code), "if m.evacuatedSet {", "if false {", 1)
+	faulty := strings.Replace(string(code), old, replacement, 1)
 	assert.Assert(t, faulty != string(code))
-	replaced, overlay := filepath.Join(folder, "data.go"), filepath.Join(folder, "overlay.json")
+	replaced, overlay := filepath.Join(folder, "replaced.go"), filepath.Join(folder, "overlay.json")
 	assert.NilError(t, os.WriteFile(replaced, []byte(faulty), 0o600))
 	files, err := json.Marshal(map[string]map[string]string{"Replace": {source: replaced}})
 	assert.NilError(t, err)
 	assert.NilError(t, os.WriteFile(overlay, files, 0o600))
-	rep, err := hssoak.Run(t.Context(), hssoak.Config{
-		Format: platform.Format{}, Store: platform.NewFakeStore(), OnlyEvacuations: true,
-		Binary:      buildProgram(t, filepath.Join(folder, "hsdirect")),
-		FirstBinary: buildProgram(t, filepath.Join(folder, "faulty"), "-overlay", overlay),
-		Folder:      folder, Subnet: byte(os.Getpid()%200 + 20), Seed: evacuationSeed, Duration: time.Second,
-		HostsPerZone: 1, TargetsPerZone: 4, Callers: 6, RecoveryTime: time.Second,
-	})
+	cfg.Format, cfg.Store = platform.Format{}, platform.NewFakeStore()
+	cfg.Binary = buildProgram(t, filepath.Join(folder, "hsdirect"))
+	cfg.FirstBinary = buildProgram(t, filepath.Join(folder, "faulty"), "-overlay", overlay)
+	cfg.Folder, cfg.Subnet = folder, byte(os.Getpid()%200+20)
+	cfg.Duration, cfg.RecoveryTime = time.Second, time.Second
+	cfg.HostsPerZone, cfg.TargetsPerZone, cfg.Callers = 1, 4, 6
+	rep, err := hssoak.Run(t.Context(), cfg)
 	assert.NilError(t, err)
-	found := 0
+	return rep
+}
+
+func countViolations(rep *hssoak.Report, text string) int {
+	n := 0
 	for _, v := range rep.Violations {
-		if strings.Contains(v, "after its evacuation was requested") {
-			found++
+		if strings.Contains(v, text) {
+			n++
 		}
 	}
-	assert.Assert(t, found > 0, "%+v", *rep)
+	return n
 }
 
 // buildProgram builds hsdirect at the given path and returns the path.
