--- a/internal/hsdirect/core_test.go
+++ b/internal/hsdirect/core_test.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
+	"heatherstack.org/heatherstack/internal/hscode"
 	"heatherstack.org/heatherstack/internal/hscookie"
 	"heatherstack.org/heatherstack/internal/hsfeed"
 	"heatherstack.org/heatherstack/internal/hsplace"
@@ -28,8 +29,9 @@
 		hosts []*clusterHost
 		// Reports whether messages from one host to another are lost.
 		messageLost func(from, to netip.Addr) bool
-		// Number of fetches that hosts made.
-		fetches int
+		// Number of fetches that hosts made, of invalid events that they report, and
+		// of messages of peers that they count as invalid.
+		fetches, invalid, rejected int
 	}
 
 	clusterHost struct {
@@ -141,6 +143,12 @@
 		assert.NilError(c.t, proto.Unmarshal(data, hb))
 		c.applyOutput(to, to.core.Receive(c.now, hb, h.addr))
 	}
+	c.invalid += len(out.Invalid)
+	for _, code := range out.Codes {
+		if code == hscode.PeerMessage {
+			c.rejected++
+		}
+	}
 	for _, f := range out.Fetches {
 		c.fetches++
 		from := c.host(f.From)
--- a/internal/hsdirect/relay_test.go
+++ b/internal/hsdirect/relay_test.go
@@ -160,6 +160,7 @@
 			}
 		}
 		assert.Assert(t, lists > 0, "no host stands for the previous release")
+		assert.Assert(t, c.invalid > 0 && c.invalid == c.rejected, "%d reported, %d counted", c.invalid, c.rejected)
 		before := c.fetches
 		const calm = 60 * time.Second
 		c.advanceWithLoads(calm)
