--- a/internal/hsfeed/types.go
+++ b/internal/hsfeed/types.go
@@ -38,17 +38,21 @@
 		Draining       bool
 	}
 
-	// Target is a server that announced itself in the store.
+	// Target is a server that announced itself in the store. Check tells whether
+	// an entry is valid; hosts do not use invalid ones.
 	Target struct {
-		ID      TargetID
+		ID TargetID
+		// Names of 1 to MaxNameSize bytes, as Zone.
 		Service string
+		// Unicast address and port.
 		Address netip.AddrPort
 		Zone    string
-		// Maximum number of concurrent requests; at least 1.
+		// Maximum number of concurrent requests: 1 to MaxSlots.
 		Slots int
 		// A target that drains takes no new flows until it is started again.
 		Draining bool
-		// Warm-up time: the target is slow for this long after the announcement.
+		// Warm-up time: the target is slow for this long after the announcement. 0 to
+		// MaxDuration.
 		WarmUp time.Duration
 		// Start time of the target in Unix milliseconds; 0 if unknown. It is
 		// higher after a restart under the same ID.
--- a/internal/hssoak/soak.go
+++ b/internal/hssoak/soak.go
@@ -4,8 +4,8 @@
 // off or slow down the connections to the store; the store drops its history, or
 // is restored from a copy; targets drain, crash, become unresponsive and hand
 // their addresses to other targets; new configurations are published, some in
-// quick succession; zones are evacuated; and another program leaves odd entries
-// among those of the targets.
+// quick succession; zones are evacuated; and another program leaves invalid
+// entries among those of the targets.
 package hssoak
 
 import (
@@ -46,9 +46,9 @@
 	Store interface {
 		http.Handler
 		Publish(ev *hsfeed.Event) uint64
-		// PublishOdd writes an entry under a target's key that names no target to
-		// use, and returns what is wrong with it.
-		PublishOdd(t *hsfeed.Target, rng *rand.Rand) string
+		// PublishInvalid writes an invalid entry under a target's key and returns what
+		// is wrong with it.
+		PublishInvalid(t *hsfeed.Target, rng *rand.Rand) string
 		DropHistory()
 		// Copy copies the content; the returned function restores the copy.
 		Copy() (restore func())
@@ -177,7 +177,7 @@
 			return errors.Trace(err)
 		}
 	}
-	if err := s.startOddTargets(ctx); err != nil {
+	if err := s.startInvalidTargets(ctx); err != nil {
 		return errors.Trace(err)
 	}
 	s.publishConfiguration()
@@ -211,7 +211,7 @@
 	})
 	if !s.cfg.OnlyEvacuations {
 		running.Go(func() error {
-			s.leaveOddEntries(ctx, end)
+			s.leaveInvalidEntries(ctx, end)
 			return nil
 		})
 	}
@@ -267,7 +267,7 @@
 }
 
 // addr returns a loopback address. kind is 0 for entry hosts, 1 for targets, 2
-// for callers, 3 for the proxies, 4 for the store and 5 for odd entries.
+// for callers, 3 for the proxies, 4 for the store and 5 for invalid entries.
 func (s *soak) addr(kind, n byte) netip.Addr {
 	return netip.AddrFrom4([4]byte{127, s.cfg.Subnet, kind, n})
 }
--- a/internal/hssoak/soak_test.go
+++ b/internal/hssoak/soak_test.go
@@ -29,9 +29,9 @@
 	// evacuationSeed is the seed of a run whose first evacuation is that of the first
 	// host's zone and lasts 9 s.
 	evacuationSeed = 6
-	// oddEntrySeed is the seed of a run that leaves one odd entry, whose capacity is
-	// 2^32-1.
-	oddEntrySeed = 133
+	// invalidEntrySeed is the seed of a run that leaves one invalid entry, whose
+	// capacity is 2^32-1.
+	invalidEntrySeed = 133
 )
 
 // TestSoak runs real hsdirect processes under a few seconds of random faults.
@@ -55,12 +55,12 @@
 	assert.Assert(t, countViolations(rep, "after its evacuation was requested") > 0, "%+v", *rep)
 }
 
-// TestSoakDetectsUsedOddEntry guards against a soak that passes although one host
+// TestSoakDetectsUsedInvalidEntry guards against a soak that passes although one host
 // uses a target whose entry is out of range. The fault is built into the program
 // of that host.
-func TestSoakDetectsUsedOddEntry(t *testing.T) {
-	rep := runWithFault(t, hssoak.Config{Seed: oddEntrySeed, Slack: busySlack}, "../../platform/entry.go", "err := t.Check(); err != nil", "err := t.Check(); err != nil && t.ID == 0")
-	assert.Assert(t, countViolations(rep, "the target of an odd entry") > 0, "%+v", *rep)
+func TestSoakDetectsUsedInvalidEntry(t *testing.T) {
+	rep := runWithFault(t, hssoak.Config{Seed: invalidEntrySeed, Slack: busySlack}, "../../platform/entry.go", "err := t.Check(); err != nil", "err := t.Check(); err != nil && t.ID == 0")
+	assert.Assert(t, countViolations(rep, "the target of an invalid entry") > 0, "%+v", *rep)
 }
 
 // runWithFault runs a short soak with one host in each zone. The source of the
