--- a/internal/hsfeed/check_test.go
+++ b/internal/hsfeed/check_test.go
@@ -1,13 +1,16 @@
 package hsfeed
 
 import (
+	"fmt"
 	"net/netip"
 	"reflect"
+	"strings"
 	"testing"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
 	"pgregory.net/rapid"
 
 	"heatherstack.org/heatherstack/internal/hscode"
@@ -75,6 +78,61 @@
 	assert.Assert(t, accepted > 0, "every value was rejected")
 }
 
+// TestCheck guards each rule of what is valid: a valid object has one field changed,
+// and the golden file has the errors.
+func TestCheck(t *testing.T) {
+	var b strings.Builder
+	check := func(name string, err error) { fmt.Fprintf(&b, "%s: %v\n", name, err) }
+	target := func(change func(*Target)) {
+		v := newTarget(1, 3)
+		change(v)
+		check("target", v.Check())
+	}
+	target(func(*Target) {})
+	target(func(v *Target) { v.Slots = MaxSlots })
+	target(func(v *Target) { v.Zone = strings.Repeat("z", MaxNameSize) })
+	target(func(v *Target) { v.ID = 0 })
+	target(func(v *Target) { v.Slots = 0 })
+	target(func(v *Target) { v.Slots = MaxSlots + 1 })
+	target(func(v *Target) { v.Service = "" })
+	target(func(v *Target) { v.Zone = strings.Repeat("z", MaxNameSize+1) })
+	target(func(v *Target) { v.Zone = "\xff" })
+	target(func(v *Target) { v.WarmUp = -1 })
+	target(func(v *Target) { v.WarmUp = MaxDuration + 1 })
+	for _, address := range []string{"10.0.0.1:0", "0.0.0.0:80", "224.0.0.1:80", "[fe80::1%e]:80"} {
+		target(func(v *Target) { v.Address = netip.MustParseAddrPort(address) })
+	}
+	target(func(v *Target) { v.Address = netip.AddrPort{} })
+
+	configuration := func(change func(*Configuration, *Route, *Service)) {
+		v := newConfiguration(1, "desk")
+		v.Services = []Service{{Name: "desk", HealthPath: "/health", WarmUpRate: MaxRate}}
+		change(v, &v.Routes[0], &v.Services[0])
+		check("configuration", v.Check())
+	}
+	configuration(func(*Configuration, *Route, *Service) {})
+	configuration(func(v *Configuration, _ *Route, _ *Service) { v.IdleTimeout = -1 })
+	configuration(func(_ *Configuration, r *Route, _ *Service) { r.Address = netip.AddrPort{} })
+	configuration(func(_ *Configuration, r *Route, _ *Service) { r.Shares = nil })
+	configuration(func(_ *Configuration, r *Route, _ *Service) { r.Shares[0].Weight = 0 })
+	configuration(func(_ *Configuration, r *Route, _ *Service) { r.Shares[0].Service = "\xff" })
+	configuration(func(_ *Configuration, r *Route, _ *Service) { r.Timeout = -1 })
+	configuration(func(_ *Configuration, r *Route, _ *Service) { r.LatencyObjective = MaxDuration + 1 })
+	configuration(func(_ *Configuration, r *Route, _ *Service) { r.Priority = -1 })
+	configuration(func(_ *Configuration, _ *Route, s *Service) { s.Name = "\xff" })
+	configuration(func(_ *Configuration, _ *Route, s *Service) { s.HealthPath = "\xff" })
+	configuration(func(_ *Configuration, _ *Route, s *Service) { s.MaxConnections = MaxNumber + 1 })
+	configuration(func(_ *Configuration, _ *Route, s *Service) { s.WarmUpTime = -1 })
+	configuration(func(_ *Configuration, _ *Route, s *Service) { s.WarmUpRate = -1 })
+	configuration(func(_ *Configuration, _ *Route, s *Service) { s.WarmUpRate = 2 * MaxRate })
+	check("evacuation", (&Evacuation{Zone: "a"}).Check())
+	check("evacuation", (&Evacuation{}).Check())
+	golden.Assert(t, b.String(), "check.golden")
+	for rate, want := range map[float64]float64{-1: 0, 0: 0, 0.0001: 0.001, 0.07: 0.07, 1.0004: 1, 1.0006: 1.001} {
+		assert.Equal(t, RoundRate(rate), want)
+	}
+}
+
 // TestInvalidEventCostsNoOther guards against an invalid event of a peer that
 // keeps the other events of its update, and with them all later ones, from being
 // applied.
