--- a/internal/hsdirect/control.go
+++ b/internal/hsdirect/control.go
@@ -164,8 +164,8 @@
 	}
 }
 
-// logStoreUpdate logs a change of the store's era, and what the store has that
-// is older than the state of this host.
+// logStoreUpdate counts invalid entries and logs a change of the store's era, and
+// what the store has that is older than the state of this host.
 func (c *controller) logStoreUpdate(u *hsfeed.Update) {
 	state := c.core.State()
 	if before := c.answered; u.Era != before.Era {
@@ -175,6 +175,9 @@
 			Msg("era of the store changed")
 	}
 	c.answered = u.Position()
+	for _, err := range u.Errors {
+		c.counts[err.Code]++
+	}
 	for i := range u.Events {
 		stored, current := u.Events[i].Configuration, state.Configuration()
 		if stored == nil || current == nil || stored.Version >= current.Version {
