--- a/internal/hsfeed/check.go
+++ b/internal/hsfeed/check.go
@@ -1,6 +1,7 @@
 package hsfeed
 
 import (
+	"cmp"
 	"math"
 	"net/netip"
 	"time"
@@ -36,7 +37,7 @@
 	case t.Slots < 1 || t.Slots > MaxSlots:
 		return errors.Errorf("slots: %d, want 1 to %d", t.Slots, MaxSlots)
 	}
-	return firstError(checkName("service", t.Service), checkName("zone", t.Zone), checkEndpoint(t.Address), checkDuration("warm-up time", t.WarmUp))
+	return cmp.Or(checkName("service", t.Service), checkName("zone", t.Zone), checkEndpoint(t.Address), checkDuration("warm-up time", t.WarmUp))
 }
 
 // Check returns an error that names the first invalid field, or nil.
@@ -73,7 +74,7 @@
 			return err
 		}
 	}
-	return firstError(checkDuration("timeout", r.Timeout), checkDuration("latency objective", r.LatencyObjective), checkNumber("priority", r.Priority))
+	return cmp.Or(checkDuration("timeout", r.Timeout), checkDuration("latency objective", r.LatencyObjective), checkNumber("priority", r.Priority))
 }
 
 // Check returns an error that names the first invalid field, or nil.
@@ -81,7 +82,7 @@
 	if s.WarmUpRate < 0 || s.WarmUpRate > MaxRate {
 		return errors.Errorf("warm-up rate: %g, want 0 to %g", s.WarmUpRate, float64(MaxRate))
 	}
-	return firstError(
+	return cmp.Or(
 		checkText("name", s.Name), checkText("path", s.HealthPath),
 		checkDuration("warm-up time", s.WarmUpTime), checkNumber("connections", s.MaxConnections),
 	)
@@ -99,16 +100,6 @@
 	return max(1, math.Round(rate*rateUnits)) / rateUnits
 }
 
-// firstError returns the first error that is not nil.
-func firstError(errs ...error) error {
-	for _, err := range errs {
-		if err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 func checkName(field, name string) error {
 	if name == "" || len(name) > MaxNameSize {
 		return errors.Errorf("%s: %d bytes, want 1 to %d", field, len(name), MaxNameSize)
