hsdirect: invalid entries of store and peers take one path

The reader logged those of the store and the control task counted them, while those of peers were counted in the core and logged by the control task. The core now counts and reports both where it applies an update, and the control task logs them. Same codes, counts and log lines.

--- a/internal/hsdirect/control.go
+++ b/internal/hsdirect/control.go
@@ -80,9 +80,14 @@
 	}
 )
 
-// maxHeartbeatSize is the size of the receive buffer in bytes, larger than any
-// heartbeat.
-const maxHeartbeatSize = 4096
+const (
+	// maxHeartbeatSize is the size of the receive buffer in bytes, larger than any
+	// heartbeat.
+	maxHeartbeatSize = 4096
+	// maxInvalidLines is the number of invalid entries of one update that are
+	// logged one by one.
+	maxInvalidLines = 16
+)
 
 // runHeartbeats reads heartbeats and passes them to the control task. It drops
 // them while that task's queue is full; the protocol tolerates lost heartbeats.
@@ -164,8 +169,8 @@
 	}
 }
 
-// logStoreUpdate counts invalid entries and logs a change of the store's era, and
-// what the store has that is older than the state of this host.
+// logStoreUpdate logs a change of the store's era, and what the store has that
+// is older than the state of this host.
 func (c *controller) logStoreUpdate(u *hsfeed.Update) {
 	state := c.core.State()
 	if before := c.answered; u.Era != before.Era {
@@ -175,9 +180,6 @@
 			Msg("era of the store changed")
 	}
 	c.answered = u.Position()
-	for _, err := range u.Errors {
-		c.counts[err.Code]++
-	}
 	for i := range u.Events {
 		stored, current := u.Events[i].Configuration, state.Configuration()
 		if stored == nil || current == nil || stored.Version >= current.Version {
@@ -256,12 +258,28 @@
 	if out.ReaderChanged || out.Relist {
 		c.notifyReader(out.Relist)
 	}
-	c.e.logInvalid("event", "ignoring invalid event of a peer", out.Invalid)
+	c.logInvalid(out.Invalid)
 	for _, code := range out.Codes {
 		c.counts[code]++
 	}
 }
 
+// logInvalid logs what is invalid in one update.
+func (c *controller) logInvalid(errs hscode.Errors) {
+	for i, err := range errs {
+		field, message := "key", "ignoring invalid entry in the store"
+		if err.Code == hscode.PeerMessage {
+			field, message = "event", "ignoring invalid event of a peer"
+		}
+		line := c.e.log(log.WarnLevel, err.Code)
+		if i == maxInvalidLines {
+			line.Int("more", len(errs)-i).Msg(message)
+			return
+		}
+		line.Str(field, err.Path).Str("detail", err.Detail).Msg(message)
+	}
+}
+
 // logChanges logs the changes in out, without those of evacuations, and records
 // when a change of the published state was last applied.
 func (c *controller) logChanges(out *Output) {
--- a/internal/hsdirect/core.go
+++ b/internal/hsdirect/core.go
@@ -83,7 +83,8 @@
 		HostCount int
 		// Result codes to count.
 		Codes []hscode.Code
-		// Invalid events of peers.
+		// Invalid entries of the store, or events of a peer, to log; see
+		// hsfeed.Update.
 		Invalid hscode.Errors
 	}
 
@@ -376,10 +377,6 @@
 // applyPeerUpdate applies an update from a peer. If this host is a reader, the
 // store has to deliver the same changes soon; see checkStoreLag.
 func (c *Core) applyPeerUpdate(now time.Time, u *hsfeed.Update) hscode.Code {
-	for _, err := range u.Errors {
-		c.countCode(err.Code)
-	}
-	c.out.Invalid = append(c.out.Invalid, u.Errors...)
 	before := c.state.Position()
 	code := c.applyUpdate(now, u)
 	if c.reader && before.Revision > 0 && c.state.Position().After(before) && c.storeBehindSince.IsZero() {
@@ -411,6 +408,10 @@
 }
 
 func (c *Core) applyUpdate(now time.Time, u *hsfeed.Update) hscode.Code {
+	for _, err := range u.Errors {
+		c.countCode(err.Code)
+	}
+	c.out.Invalid = append(c.out.Invalid, u.Errors...)
 	ch, code := c.state.Apply(now, u)
 	if code != hscode.OK {
 		c.countCode(code)
--- a/internal/hsdirect/entry.go
+++ b/internal/hsdirect/entry.go
@@ -122,9 +122,6 @@
 	// quietTimeout is the time without packets after which a stopping host exits.
 	quietTimeout     = time.Second
 	stopPollInterval = 100 * time.Millisecond
-	// maxInvalidLines is the number of invalid entries of one update that are
-	// logged one by one.
-	maxInvalidLines = 16
 )
 
 // New creates an entry host and opens its sockets. Errors carry a result code.
@@ -244,15 +241,3 @@
 		Uint64("boot", e.cfg.Boot).
 		Uint16("code", uint16(code))
 }
-
-// logInvalid logs what is invalid in one update, with its place in the given
-// field.
-func (e *EntryHost) logInvalid(field, message string, errs hscode.Errors) {
-	for i, err := range errs {
-		if i == maxInvalidLines {
-			e.log(log.WarnLevel, err.Code).Int("more", len(errs)-i).Msg(message)
-			return
-		}
-		e.log(log.WarnLevel, err.Code).Str(field, err.Path).Str("detail", err.Detail).Msg(message)
-	}
-}
--- a/internal/hsdirect/reader.go
+++ b/internal/hsdirect/reader.go
@@ -104,7 +104,6 @@
 		r.handleFailure(ctx, err)
 		return
 	}
-	r.e.logInvalid("key", "ignoring invalid entry in the store", u.Errors)
 	r.reportAvailability(ctx, true)
 	if u.Since > 0 {
 		r.relisted = false
