--- a/internal/hssoak/soak.go
+++ b/internal/hssoak/soak.go
@@ -54,6 +54,9 @@
 		Copy() (restore func())
 	}
 
+	// FaultSet is the set of faults that a run injects.
+	FaultSet int
+
 	// Config configures a run.
 	Config struct {
 		Format Format
@@ -63,10 +66,8 @@
 		// Path of the executable of the first host; empty if it is Binary. A test of
 		// the checks gives one with a fault.
 		FirstBinary string
-		// True if zones are evacuated, or another program leaves invalid entries, and no
-		// other fault is injected until the end.
-		OnlyEvacuations    bool
-		OnlyInvalidEntries bool
+		// Faults that are injected until the end.
+		Faults FaultSet
 		// Folder for settings files and logs.
 		Folder string
 		// Second byte of the loopback addresses in use.
@@ -115,6 +116,15 @@
 	}
 )
 
+// Sets of faults.
+const (
+	AllFaults FaultSet = iota
+	// Zones are evacuated, and nothing else.
+	Evacuations
+	// Another program leaves invalid entries in the store, and nothing else.
+	InvalidEntries
+)
+
 const (
 	zoneCount = 3
 	dataPort  = 8172
@@ -207,19 +217,19 @@
 	// not on other random draws of the run.
 	plan := rand.New(rand.NewPCG(s.cfg.Seed, 2))
 	end := time.Now().Add(s.cfg.Duration)
-	if !s.cfg.OnlyInvalidEntries {
+	if s.cfg.Faults != InvalidEntries {
 		running.Go(func() error {
 			s.evacuateZones(ctx, end)
 			return nil
 		})
 	}
-	if !s.cfg.OnlyEvacuations {
+	if s.cfg.Faults != Evacuations {
 		running.Go(func() error {
 			s.leaveInvalidEntries(ctx, end)
 			return nil
 		})
 	}
-	for time.Now().Before(end) && ctx.Err() == nil && !s.cfg.OnlyEvacuations && !s.cfg.OnlyInvalidEntries {
+	for time.Now().Before(end) && ctx.Err() == nil && s.cfg.Faults == AllFaults {
 		s.copyStore()
 		f := faults[plan.IntN(len(faults))]
 		rng := rand.New(rand.NewPCG(s.cfg.Seed, plan.Uint64()))
--- a/internal/hssoak/soak_test.go
+++ b/internal/hssoak/soak_test.go
@@ -53,7 +53,7 @@
 func TestSoakDetectsIgnoredEvacuation(t *testing.T) {
 	folder := t.TempDir()
 	rep := runShort(t, hssoak.Config{
-		OnlyEvacuations: true, Seed: evacuationSeed, Duration: time.Second, Folder: folder,
+		Faults: hssoak.Evacuations, Seed: evacuationSeed, Duration: time.Second, Folder: folder,
 		Binary:      buildProgram(t, filepath.Join(folder, "hsdirect")),
 		FirstBinary: buildFaulty(t, folder, "../hsdirect/data.go", "if m.evacuatedSet {", "if false {"),
 	})
@@ -67,7 +67,7 @@
 	folder := t.TempDir()
 	faulty := buildFaulty(t, folder, "../hsfeed/check.go", "t.Slots < 1 || t.Slots > MaxSlots", "t.Slots < 1")
 	rep := runShort(t, hssoak.Config{
-		OnlyInvalidEntries: true, Seed: invalidEntrySeed, Duration: 4 * time.Second, Folder: folder, Binary: faulty,
+		Faults: hssoak.InvalidEntries, Seed: invalidEntrySeed, Duration: 4 * time.Second, Folder: folder, Binary: faulty,
 	})
 	t.Logf("%d packets", countViolations(rep, "the target of an invalid entry"))
 	assert.Assert(t, countViolations(rep, "the target of an invalid entry") > 0, "%+v", *rep)
