--- a/Makefile
+++ b/Makefile
@@ -6,14 +6,21 @@
 GEN_GO   = google.golang.org/protobuf/cmd/protoc-gen-go@v1.36.12
 GEN_RPC  = connectrpc.com/connect/cmd/protoc-gen-connect-go@v1.21.1
 MODULE   = heatherstack.org/heatherstack
+# Pattern of the tests that KNOWN-RED.txt names.
+RED     := $(shell sed -n 's/^\(Test[^: ]*\):.*/\1/p' KNOWN-RED.txt | sed 's,/,$$/^,g; s,.*,^&$$,' | paste -sd'|' -)
+SKIP    ?= $(RED)
 
-.PHONY: help test build vet format lint fmt golden generate demo place bench faults fuzz matrix soak
+.PHONY: help test red build vet format lint fmt golden generate demo place bench faults fuzz matrix soak
 
 help: ## list the commands
 	@grep -E '^[a-z]+:.*##' Makefile | sed 's/:.*##/\t/'
 
-test: ## run all tests with the race detector, without those that match SKIP
-	go test -race -timeout 40m -skip "$$SKIP" $(PACKAGES)
+test: ## run all tests with the race detector, without those in KNOWN-RED.txt
+	go test -race -timeout 40m -skip '$(SKIP)' $(PACKAGES)
+
+red: ## run the tests in KNOWN-RED.txt and print their results, which do not count
+	@echo "known red, passed over by name:"; cat KNOWN-RED.txt
+	@test -z '$(RED)' || go test -count=1 -run '$(RED)' ./... 2>&1 | grep -v 'no test' || true
 
 build: ## build the programs into bin/
 	mkdir -p bin
