--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,63 +1,76 @@
-"""ROUTE: an entry with missing fields, from another writer, names a target."""
+"""CONFIG: a retransmitted opening packet goes to the service of the version before."""
 
 import asyncio
 import os
 import random
 import sys
+import time
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "standin-2"))
 import fleet2  # noqa: E402
 
-DESK, VAULT = ("127.18.0.1", 8080), ("127.18.0.2", 8443)
+DESK = ("127.18.0.1", 8080)
+SERVICES = ("race-desk", "race-desk-2")
+MAX_FLOWS = 20
+CALLERS = 30
 
 
-def foreign_entry(server):
-    """Lacks version, coldRemainingMs, seq and born, which every entry has."""
-    return {
-        "service": "race-desk", "address": f"{server.address[0]}:{server.address[1]}", "zone": server.zone,
-        "capacity": server.slots, "state": "ready",
-    }
+class Fleet(fleet2.Fleet):
+    def __init__(self, *args, **kwargs):
+        super().__init__(*args, **kwargs)
+        # Service of the newest version, and when a server first saw its effect
+        # through each machine.
+        self.current, self.effect, self.late, self.releases = None, {}, set(), 0
 
+    def publish(self, service):
+        self.current, self.effect = service, {}
+        self.releases += 1
+        self.configure([(f"door-checkin-{self.releases}", DESK, service, "non_idempotent")])
 
-class Fleet(fleet2.Fleet):
     def ran(self, server, request, p, via):
         super().ran(server, request, p, via)
-        allowed = {DESK: "race-desk", VAULT: "cert-vault"}[(p.dst, p.dport)]
-        if server.service != allowed:
-            self.fail(f"ROUTE: request {request} to {p.dst}:{p.dport} was run by {server.id} of {server.service}; every configuration sends it to {allowed}")
+        _, sent, taken, machine, copy = self.taken_by[(p.key, server.id)]
+        if server.service == self.current:
+            self.effect[machine] = min(taken, self.effect.get(machine, taken))
+            return
+        late = sent - self.effect.get(machine, sent)
+        if late > self.bounds["revertSlackMs"] / 1000 and p.key not in self.late:
+            self.late.add(p.key)
+            self.fail(
+                f"CONFIG: request {request} was run by {server.id} of {server.service}; its opening packet (copy {copy}) was sent "
+                f"{late * 1000:.0f} ms after a server had seen the effect of version {self.version} through {machine}"
+            )
 
 
-async def caller(fleet, client, route, method):
+async def caller(fleet, client):
+    """Keeps a flow open for a few requests, and opens the next one."""
     while True:
-        flow = fleet2.Flow(client, route)
+        flow, end = fleet2.Flow(client, DESK), time.monotonic() + random.uniform(2, 5)
         if await flow.connect() is None:
-            await flow.request(method=method)
+            while time.monotonic() < end and not flow.reset:
+                await flow.request()
+                await asyncio.sleep(random.uniform(0.3, 1))
             flow.close()
-        await asyncio.sleep(random.uniform(0.05, 0.25))
+        await asyncio.sleep(random.uniform(0.05, 0.3))
 
 
 async def play(fleets):
     fleet = Fleet("7", hosts=(2, 1, 1))
     fleets.append(fleet)
-    fleet.services = ["race-desk", "cert-vault"]
-    for zone in fleet2.ZONES:
-        fleet.add_server("race-desk", zone)
-        fleet.add_server("race-desk", zone)
-        fleet.add_server("cert-vault", zone, work=0.005, body=20000)
-    fleet.configure([("door-checkin", DESK, "race-desk", "non_idempotent"), ("finish-cert", VAULT, "cert-vault", "download")])
+    fleet.services, fleet.max_connections = list(SERVICES), MAX_FLOWS
+    for service in SERVICES:
+        for zone in fleet2.ZONES:
+            fleet.add_server(service, zone, max_flows=MAX_FLOWS, slots=8)
+    fleet.publish(SERVICES[0])
     await fleet.add_clients()
     await fleet.start()
-    calls = [asyncio.ensure_future(caller(fleet, c, DESK, "POST")) for c in fleet.clients for _ in range(2)]
-    calls += [asyncio.ensure_future(caller(fleet, c, VAULT, "GET")) for c in fleet.clients]
-    await asyncio.sleep(6)
-    vaults = [s for s in fleet.servers if s.service == "cert-vault"]
-    for _ in range(3):
-        for server in vaults:
-            if fleet.trouble:
-                fleet.log("foreign-entry", key=f"servers/{server.id}")
-                fleet.store.put(f"servers/{server.id}", foreign_entry(server))
-            await asyncio.sleep(2)
+    calls = [asyncio.ensure_future(caller(fleet, c)) for c in fleet.clients for _ in range(CALLERS)]
+    await asyncio.sleep(12)
+    for i in range(1, 4):
+        if fleet.trouble:
+            fleet.publish(SERVICES[i % 2])
+        await asyncio.sleep(8)
     for c in calls:
         c.cancel()
 
