--- a/review/standin-2/fleet2.py
+++ b/review/standin-2/fleet2.py
@@ -115,13 +115,6 @@
         self.items[key] = (value, self.revision)
         return self._add({"key": key, "value": base64.b64encode(value).decode(), "revision": self.revision, "createdAt": self.revision, "lease": 0})
 
-    def delete(self, key):
-        if key not in self.items:
-            return self.fleet.now()
-        self.revision += 1
-        del self.items[key]
-        return self._add({"key": key, "revision": self.revision, "tombstone": True})
-
     def announce(self, key, body):
         """A server's write: the entry changes only when more than seq changes."""
         old = self.items.get(key)
@@ -203,7 +196,6 @@
         self.id = f"i-{self.number:010x}"
         self.state, self.seq, self.born = "ready", 0, int(time.time() * 1000)
         self.flows, self.ended = {}, set()
-        self.alive = True
         self.waiting = asyncio.Queue()
         self.tasks = []
 
@@ -225,14 +217,6 @@
             self.fleet.store.announce(f"servers/{self.id}", self.entry())
             await asyncio.sleep(self.fleet.heartbeat)
 
-    def crash(self):
-        """Ends the server without notice; its entry expires after three heartbeats."""
-        self.alive = False
-        for t in self.tasks:
-            t.cancel()
-        self.transport.close()
-        asyncio.get_running_loop().call_later(3 * self.fleet.heartbeat, self.fleet.store.delete, f"servers/{self.id}")
-
     def receive(self, raw, sender):
         number, p = int.from_bytes(raw[:8], "big"), Packet.decode(raw[8:])
         if number not in (0, self.number) or p is None:
@@ -321,8 +305,7 @@
     def send(self, key, flags, seq, ack, echo, data=b""):
         src, sport, dst, dport = key
         p = Packet(dst, dport, src, sport, flags, seq & 0xFFFFFFFF, ack & 0xFFFFFFFF, echo, data)
-        if self.alive:
-            self.transport.sendto(p.encode(), (src, self.fleet.port))
+        self.transport.sendto(p.encode(), (src, self.fleet.port))
 
 
 def flow_text(key):
@@ -709,5 +692,5 @@
             counts[how or "unfinished"] = counts.get(how or "unfinished", 0) + 1
         print(f"requests: {counts}; rule broken {len(f.broken)} times")
         print("\n".join(f.broken[:3]))
-        os.environ.get("KEEP") or shutil.rmtree(f.folder, ignore_errors=True)
+        shutil.rmtree(f.folder, ignore_errors=True)
     raise SystemExit(code)
