hsfeed: tell entries apart by name, not by the digits of their key

Cause: the digits at the end of a key became the target's only identity, so that two keys that end alike were one entry, and an invalid entry removed the target of the other key. Ruled out by the log: a list that fails (the configuration of the same list is applied, no 6001 to 6004), and a peer's state (hosts list 0 targets from the store).

Change: an event has the entry's name, also between hosts; entryMap decides which entry it concerns, for listed, held and removed ones. Of several entries with one ID, the one whose service the configuration names is listed, then the latest start, then the shorter name. Events without a name, of hosts of the previous release, concern the first entry of their ID.

TestSettledRemovals counts removals by entryMap.count instead of len.

--- a/internal/hsfeed/check.go
+++ b/internal/hsfeed/check.go
@@ -37,7 +37,7 @@
 	case t.Slots < 1 || t.Slots > MaxSlots:
 		return errors.Errorf("slots: %d, want 1 to %d", t.Slots, MaxSlots)
 	}
-	return cmp.Or(checkName("service", t.Service), checkName("zone", t.Zone), checkEndpoint(t.Address), checkDuration("warm-up time", t.WarmUp))
+	return cmp.Or(CheckEntryName(t.Name), checkName("service", t.Service), checkName("zone", t.Zone), checkEndpoint(t.Address), checkDuration("warm-up time", t.WarmUp))
 }
 
 // Check returns an error that names the first invalid field, or nil.
@@ -100,6 +100,14 @@
 	return max(1, math.Round(rate*rateUnits)) / rateUnits
 }
 
+// CheckEntryName checks the name of a target's entry, which may be unknown.
+func CheckEntryName(name string) error {
+	if name == "" {
+		return nil
+	}
+	return checkName("name", name)
+}
+
 func checkName(field, name string) error {
 	if name == "" || len(name) > MaxNameSize {
 		return errors.Errorf("%s: %d bytes, want 1 to %d", field, len(name), MaxNameSize)
--- a/internal/hsfeed/proto.go
+++ b/internal/hsfeed/proto.go
@@ -26,9 +26,9 @@
 }
 
 // FromProto converts a protobuf message to an update. Update.Errors has an error
-// with code PeerMessage for each invalid event. If one lists a target, the target
-// is removed, as it is where the store has an invalid entry for it; other invalid
-// events have no effect. The valid events hold in either case: a peer sends an
+// with code PeerMessage for each invalid event. If one has an entry of a target, the
+// entry is removed, as it is where the store has an invalid one of that name; other
+// invalid events have no effect. The valid events hold in either case: a peer sends an
 // event again with every later one, so that rejecting the whole message would
 // keep this host from following for good.
 func FromProto(m *hsschema.Update) Update {
@@ -37,11 +37,13 @@
 		ev, err := eventFromProto(e)
 		if err != nil {
 			u.Errors = append(u.Errors, hscode.New(hscode.PeerMessage, eventPath(e), "%v", err))
-			ev = Event{Era: e.GetEra(), Revision: e.GetRevision(), Removed: TargetID(e.GetTarget().GetId())}
-		}
-		if err == nil || ev.Removed != 0 {
-			u.Events = append(u.Events, ev)
+			t := e.GetTarget()
+			if t.GetId() == 0 || CheckEntryName(t.GetName()) != nil {
+				continue
+			}
+			ev = Event{Era: e.GetEra(), Revision: e.GetRevision(), Removed: TargetID(t.GetId()), RemovedName: t.GetName()}
 		}
+		u.Events = append(u.Events, ev)
 	}
 	return u
 }
@@ -71,6 +73,7 @@
 		}}
 	default:
 		out.Change = &hsschema.Event_Gone{Gone: uint64(ev.Removed)}
+		out.Name = ev.RemovedName
 		out.Born, out.Draining = ev.RemovedStamp.StartUnixMilli, ev.RemovedStamp.Draining
 	}
 	return out
@@ -92,7 +95,8 @@
 		out.Evacuation = &Evacuation{Zone: m.GetZone(), Ended: m.GetEnded(), Requested: m.GetRequested()}
 		err = out.Evacuation.Check()
 	case *hsschema.Event_Gone:
-		out.Removed = TargetID(c.Gone)
+		out.Removed, out.RemovedName = TargetID(c.Gone), e.GetName()
+		err = CheckEntryName(out.RemovedName)
 		out.RemovedStamp = Stamp{StartUnixMilli: e.GetBorn(), Draining: e.GetDraining()}
 	default:
 		err = errors.New("unknown kind of change")
@@ -103,6 +107,7 @@
 func targetToProto(t *Target) *hsschema.Backend {
 	return &hsschema.Backend{
 		Id:       uint64(t.ID),
+		Name:     t.Name,
 		Service:  t.Service,
 		Address:  t.Address.String(),
 		Zone:     t.Zone,
@@ -116,6 +121,7 @@
 func targetFromProto(b *hsschema.Backend) *Target {
 	return &Target{
 		ID:             TargetID(b.GetId()),
+		Name:           b.GetName(),
 		Service:        b.GetService(),
 		Address:        addressFromProto(b.GetAddress()),
 		Zone:           b.GetZone(),
--- a/internal/hsfeed/replica.go
+++ b/internal/hsfeed/replica.go
@@ -70,9 +70,13 @@
 // Configuration returns the current configuration, or nil.
 func (r *Replica) Configuration() *Configuration { return r.configuration }
 
-// Targets returns the listed targets in the order of their IDs.
+// Targets returns the listed targets in the order of their IDs, one for each ID.
 func (r *Replica) Targets() []TargetRecord { return r.targets.sorted() }
 
+// UnlistedEntries returns the entries of targets that are not listed because
+// another one has the same ID, in the order of their IDs.
+func (r *Replica) UnlistedEntries() []TargetRecord { return r.targets.unlisted() }
+
 // Evacuations returns the requests for evacuations that are in force, in the order
 // of their zones.
 func (r *Replica) Evacuations() []EvacuationRecord { return r.evacuations.active() }
@@ -141,7 +145,7 @@
 // does not show in which era and at which revision the requests were written.
 func (r *Replica) Adopt(now time.Time, p Position, digest uint64) bool {
 	sameEra := p.Era == r.position.Era
-	if digest == 0 || digest != r.Digest() || !p.After(r.position) || (sameEra && len(r.targets.held) > 0) || r.evacuations.digest != 0 {
+	if digest == 0 || digest != r.Digest() || !p.After(r.position) || (sameEra && r.targets.held.count > 0) || r.evacuations.digest != 0 {
 		return false
 	}
 	r.enterEra(now, p.Era)
@@ -228,6 +232,7 @@
 			continue
 		}
 		r.configuration = c.withPreviousServices(r.configuration)
+		r.targets.setServices(r.configuration, ch)
 		ch.Configuration = true
 		ch.EventCount++
 	}
@@ -270,6 +275,21 @@
 	return &out
 }
 
+// serviceNames returns the services that the configuration names: those with
+// settings, and those that its routes lead to or led to before.
+func (c *Configuration) serviceNames() map[string]bool {
+	out := make(map[string]bool, len(c.Services))
+	for i := range c.Services {
+		out[c.Services[i].Name] = true
+	}
+	for i := range c.Routes {
+		for _, name := range append(c.Routes[i].currentServices(), c.Routes[i].PreviousServices...) {
+			out[name] = true
+		}
+	}
+	return out
+}
+
 // currentServices returns the names of the services that new flows of the route
 // are sent to.
 func (r *Route) currentServices() []string {
--- a/internal/hsfeed/replica_test.go
+++ b/internal/hsfeed/replica_test.go
@@ -1,6 +1,7 @@
 package hsfeed
 
 import (
+	"fmt"
 	"net/netip"
 	"slices"
 	"testing"
@@ -134,6 +135,7 @@
 			assert.Equal(t, replica.Configuration().Version, store.Configuration().Version)
 			assert.DeepEqual(t, evacuatedZones(replica), evacuatedZones(store))
 			assert.Equal(t, replica.Digest(), store.Digest())
+			assert.Assert(t, slices.EqualFunc(replica.UnlistedEntries(), store.UnlistedEntries(), sameTarget))
 		}
 	})
 }
@@ -146,19 +148,22 @@
 }
 
 // applyChange applies an event to the store: a configuration, an announcement, a
-// removal, or the start or end of an evacuation, depending on step.
+// removal, or the start or end of an evacuation, depending on step. Targets have up
+// to three entries of different names.
 func applyChange(store *Replica, step int) {
 	r := store.Revision() + 1
 	ev := Event{Revision: r}
+	name := fmt.Sprintf("%s-%d", []string{"i", "old", "x"}[step%3], step%7+1)
 	switch step % 5 {
 	case 0:
 		ev.Configuration = newConfiguration(r, "desk")
 	case 1:
 		ev.Target = newTarget(TargetID(step%7+1), int(r))
+		ev.Target.Name, ev.Target.Service = name, []string{"desk", "unknown"}[step%2]
 	case 2, 3:
 		ev.Evacuation = &Evacuation{Zone: string(rune('a' + step%7/3)), Ended: step%5 == 3}
 	default:
-		ev.Removed = TargetID(step%7 + 1)
+		ev.Removed, ev.RemovedName = TargetID(step%7+1), name
 	}
 	store.Apply(epoch, &Update{Since: r - 1, Revision: r, Events: []Event{ev}})
 }
--- a/internal/hsfeed/restore_test.go
+++ b/internal/hsfeed/restore_test.go
@@ -203,9 +203,9 @@
 		revision += 2
 	}
 	apply(t, replica, Update{Era: 1, Since: 50, Revision: revision, Events: events}, hscode.OK)
-	assert.Equal(t, len(replica.targets.removals), maxRemovals)
+	assert.Equal(t, replica.targets.removals.count, maxRemovals)
 	replica.Tick(epoch.Add(removalTime - time.Millisecond))
-	assert.Equal(t, len(replica.targets.removals), maxRemovals)
+	assert.Equal(t, replica.targets.removals.count, maxRemovals)
 	replica.Tick(epoch.Add(removalTime + sweepInterval))
-	assert.Equal(t, len(replica.targets.removals), 0)
+	assert.Equal(t, replica.targets.removals.count, 0)
 }
--- a/internal/hsfeed/targets.go
+++ b/internal/hsfeed/targets.go
@@ -3,37 +3,37 @@
 import (
 	"cmp"
 	"encoding/binary"
-	"maps"
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
 
 type (
-	// targetSet holds the listed targets, and what is known about those that were
-	// removed.
+	// targetSet holds the entries of targets, and what is known about those that were
+	// removed. Of several entries with the same target ID, one is listed; see listed.
 	//
 	// The entry that a new era of the store lists may be a copy from before a
 	// change that this host knows: the target drains, was removed or was started
 	// again. See overrides and overridesRemoval for the rules that decide between
 	// the two.
 	targetSet struct {
-		records map[TargetID]TargetRecord
-		// Targets that were removed and not listed since; at most maxRemovals.
-		removals map[TargetID]removal
+		records entryMap[TargetRecord]
+		// Entries that were removed and not written since; at most maxRemovals.
+		removals entryMap[removal]
 		// Entries of the current era that have no effect because of what is known
 		// from earlier eras, but will have after holdTime; empty from then on.
-		held map[TargetID]TargetRecord
+		held entryMap[TargetRecord]
+		// Services that the current configuration names; nil before the first one.
+		services map[string]bool
 		// Time at which this host entered the current era.
 		eraSince time.Time
 		// Time of the last removal of old entries of removals.
 		lastSweep time.Time
-		// XOR of the digests of records.
+		// XOR of the digests of the IDs; see digestOf.
 		digest uint64
 	}
 
-	// removal is the knowledge that a target was removed.
+	// removal is the knowledge that an entry was removed.
 	removal struct {
 		// Position at which the target was no longer listed.
 		position Position
@@ -92,22 +92,73 @@
 // settled reports whether this host has been in the current era for holdTime.
 func (s *targetSet) settled(now time.Time) bool { return now.Sub(s.eraSince) >= holdTime }
 
-func (s *targetSet) sorted() []TargetRecord { return sortedRecords(s.records) }
+// setServices sets the services that the current configuration names, and records
+// in ch that the listed targets may have changed.
+func (s *targetSet) setServices(c *Configuration, ch *Change) {
+	s.services = c.serviceNames()
+	if s.records.isShared() {
+		ch.Targets = true
+	}
+}
+
+// listed returns the entry that counts among those of an ID: the one of the latest
+// start among those whose service the configuration names, or among all if there
+// is none. The order of names decides between equal ones, so that hosts with the
+// same state agree.
+func (s *targetSet) listed(id TargetID) *TargetRecord {
+	entries := s.records.byID[id]
+	best := &entries[0].value
+	for i := range entries[1:] {
+		e := &entries[i+1].value
+		switch known := s.services[e.Service]; {
+		case known != s.services[best.Service]:
+			if known {
+				best = e
+			}
+		case e.StartUnixMilli > best.StartUnixMilli:
+			best = e
+		}
+	}
+	return best
+}
 
-func sortedRecords(records map[TargetID]TargetRecord) []TargetRecord {
-	return slices.SortedFunc(maps.Values(records), func(a, b TargetRecord) int { return cmp.Compare(a.ID, b.ID) })
+// sorted returns the listed targets in the order of their IDs.
+func (s *targetSet) sorted() []TargetRecord {
+	out := make([]TargetRecord, 0, len(s.records.byID))
+	for _, id := range s.records.ids() {
+		out = append(out, *s.listed(id))
+	}
+	return out
+}
+
+// unlisted returns the entries that are not listed because of another one with
+// the same ID, in the order of their IDs and names.
+func (s *targetSet) unlisted() []TargetRecord {
+	if !s.records.isShared() {
+		return nil
+	}
+	var out []TargetRecord
+	for id, e := range s.records.all() {
+		if e.name != s.listed(id).Name {
+			out = append(out, e.value)
+		}
+	}
+	return out
 }
 
 // appendEvents appends the events that describe the set in the given era to dst:
-// the listed targets, the held entries, and the removals of earlier eras.
-// Applied in this order, they have the same effect at another host as here.
+// the entries, the held ones, and the removals of earlier eras. Applied in this
+// order, they have the same effect at another host as here.
 func (s *targetSet) appendEvents(dst []Event, era uint64) []Event {
-	for _, record := range slices.Concat(s.sorted(), sortedRecords(s.held)) {
-		dst = append(dst, Event{Era: record.Position.Era, Revision: record.Position.Revision, Target: &record.Target})
+	for _, entries := range []*entryMap[TargetRecord]{&s.records, &s.held} {
+		for _, e := range entries.all() {
+			record := e.value
+			dst = append(dst, Event{Era: record.Position.Era, Revision: record.Position.Revision, Target: &record.Target})
+		}
 	}
-	for _, id := range slices.Sorted(maps.Keys(s.removals)) {
-		if r := s.removals[id]; r.position.Era != era {
-			dst = append(dst, Event{Era: r.position.Era, Revision: r.position.Revision, Removed: id, RemovedStamp: r.stamp})
+	for id, e := range s.removals.all() {
+		if r := e.value; r.position.Era != era {
+			dst = append(dst, Event{Era: r.position.Era, Revision: r.position.Revision, Removed: id, RemovedName: e.name, RemovedStamp: r.stamp})
 		}
 	}
 	return dst
@@ -122,7 +173,7 @@
 	if ev.Target == nil || ev.Target.WarmUp == 0 {
 		return ev
 	}
-	record, ok := s.records[ev.Target.ID]
+	record, ok := s.records.get(ev.Target.ID, ev.Target.Name)
 	remaining := max(record.WarmUpUntil.Sub(now), 0)
 	if !ok || record.StartUnixMilli != ev.Target.StartUnixMilli || record.WarmUp != ev.Target.WarmUp || ev.Target.WarmUp-remaining < warmUpPrecision {
 		return ev
@@ -136,25 +187,25 @@
 // enterEra records that this host has entered another era of the store.
 func (s *targetSet) enterEra(now time.Time) {
 	s.eraSince = now
-	s.held = nil
+	s.held = entryMap[TargetRecord]{}
 }
 
-// replace applies a whole state at position p: targets that it does not contain
+// replace applies a whole state at position p: entries that it does not contain
 // are removed.
 func (s *targetSet) replace(now time.Time, p Position, events []Event, ch *Change) {
-	listed := make(map[TargetID]bool, len(events))
+	var listed entryMap[struct{}]
 	for i := range events {
-		if events[i].Target != nil {
-			listed[events[i].Target.ID] = true
+		if t := events[i].Target; t != nil {
+			listed.set(t.ID, t.Name, struct{}{})
 		}
 	}
 	s.merge(now, p.Era, events, ch)
-	for id, record := range s.records {
-		if !listed[id] {
-			s.remove(id, removal{position: p, stamp: record.Stamp(), at: now}, ch)
+	for id, e := range s.records.all() {
+		if listed.find(id, e.name) < 0 {
+			s.remove(id, e.name, removal{position: p, stamp: e.value.Stamp(), at: now}, ch)
 		}
 	}
-	maps.DeleteFunc(s.held, func(id TargetID, _ TargetRecord) bool { return !listed[id] })
+	s.held.removeFunc(func(id TargetID, name string, _ TargetRecord) bool { return listed.find(id, name) < 0 })
 }
 
 // merge applies events that may be known already.
@@ -171,27 +222,36 @@
 	switch {
 	case ev.Configuration != nil, ev.Evacuation != nil:
 	case ev.Target != nil:
-		s.applyEntry(now, era, TargetRecord{Target: *ev.Target, Position: p, WarmUpUntil: now.Add(ev.Target.WarmUp)}, ch)
+		record := TargetRecord{Target: *ev.Target, Position: p, WarmUpUntil: now.Add(ev.Target.WarmUp)}
+		record.Name = s.nameOf(record.ID, record.Name)
+		s.applyEntry(now, era, record, ch)
 	default:
-		s.applyRemoval(now, era, ev.Removed, removal{position: p, stamp: ev.RemovedStamp, at: now}, ch)
+		gone := removal{position: p, stamp: ev.RemovedStamp, at: now}
+		s.applyRemoval(now, era, ev.Removed, s.nameOf(ev.Removed, ev.RemovedName), gone, ch)
 	}
 }
 
+// nameOf returns the name of the entry that an event of a peer means, which may
+// have sent none.
+func (s *targetSet) nameOf(id TargetID, name string) string {
+	return s.removals.name(id, s.held.name(id, s.records.name(id, name)))
+}
+
 func (s *targetSet) applyEntry(now time.Time, era uint64, record TargetRecord, ch *Change) {
-	old, listed := s.records[record.ID]
-	gone, removed := s.removals[record.ID]
+	old, known := s.records.get(record.ID, record.Name)
+	gone, removed := s.removals.get(record.ID, record.Name)
 	switch {
-	case listed && !s.overrides(now, record.Position, record.Stamp(), old.Position, old.Stamp()):
+	case known && !s.overrides(now, record.Position, record.Stamp(), old.Position, old.Stamp()):
 		s.hold(era, record, old.Position, old.Stamp())
 		return
-	case !listed && removed && !s.overridesRemoval(now, &record, &gone):
+	case !known && removed && !s.overridesRemoval(now, &record, &gone):
 		s.hold(era, record, gone.position, gone.stamp)
 		return
-	case listed && old.Target == record.Target:
+	case known && old.Target == record.Target:
 		old.Position = record.Position
-		s.records[record.ID] = old
+		s.records.set(record.ID, record.Name, old)
 		return
-	case listed:
+	case known:
 		s.hold(era, old, record.Position, record.Stamp())
 	}
 	s.list(record, ch)
@@ -202,41 +262,39 @@
 // target drains.
 func (s *targetSet) hold(era uint64, record TargetRecord, q Position, known Stamp) {
 	final := known.Draining && known.StartUnixMilli == record.StartUnixMilli
-	if final || record.Position.Era != era || q.Era == era || !record.Position.After(s.held[record.ID].Position) {
+	held, _ := s.held.get(record.ID, record.Name)
+	if final || record.Position.Era != era || q.Era == era || !record.Position.After(held.Position) {
 		return
 	}
-	if s.held == nil {
-		s.held = map[TargetID]TargetRecord{}
-	}
-	s.held[record.ID] = record
+	s.held.set(record.ID, record.Name, record)
 }
 
-func (s *targetSet) applyRemoval(now time.Time, era uint64, id TargetID, gone removal, ch *Change) {
-	if h, ok := s.held[id]; ok && gone.position.Era == era && gone.position.After(h.Position) {
-		delete(s.held, id)
+func (s *targetSet) applyRemoval(now time.Time, era uint64, id TargetID, name string, gone removal, ch *Change) {
+	if h, ok := s.held.get(id, name); ok && gone.position.Era == era && gone.position.After(h.Position) {
+		s.held.remove(id, name)
 	}
-	old, listed := s.records[id]
-	if !listed {
-		s.recordRemoval(now, id, gone)
+	old, known := s.records.get(id, name)
+	if !known {
+		s.recordRemoval(now, id, name, gone)
 		return
 	}
 	if gone.position.Era >= old.Position.Era {
 		if gone.position.After(old.Position) {
 			gone.stamp = old.Stamp()
-			s.remove(id, gone, ch)
+			s.remove(id, name, gone, ch)
 		}
 		return
 	}
 	if gone.stamp != (Stamp{}) && !s.overridesRemoval(now, &old, &gone) {
-		s.remove(id, gone, ch)
+		s.remove(id, name, gone, ch)
 		s.hold(era, old, gone.position, gone.stamp)
 	}
 }
 
-// recordRemoval records the removal of a target that is not listed, unless a
+// recordRemoval records the removal of an entry that is not known, unless a
 // removal of the same or a later entry is known.
-func (s *targetSet) recordRemoval(now time.Time, id TargetID, gone removal) {
-	known, ok := s.removals[id]
+func (s *targetSet) recordRemoval(now time.Time, id TargetID, name string, gone removal) {
+	known, ok := s.removals.get(id, name)
 	if gone.stamp == (Stamp{}) {
 		// Zero if none is known.
 		gone.stamp = known.stamp
@@ -244,44 +302,51 @@
 	if gone.stamp == (Stamp{}) || (ok && !s.overrides(now, gone.position, gone.stamp, known.position, known.stamp)) {
 		return
 	}
-	s.addRemoval(id, gone)
+	s.addRemoval(id, name, gone)
 }
 
-func (s *targetSet) addRemoval(id TargetID, gone removal) {
-	if s.removals == nil {
-		s.removals = map[TargetID]removal{}
-	}
-	if len(s.removals) < maxRemovals {
-		s.removals[id] = gone
+func (s *targetSet) addRemoval(id TargetID, name string, gone removal) {
+	if s.removals.count < maxRemovals {
+		s.removals.set(id, name, gone)
 	}
 }
 
 func (s *targetSet) list(record TargetRecord, ch *Change) {
-	if s.records == nil {
-		s.records = map[TargetID]TargetRecord{}
-	}
-	if old, ok := s.records[record.ID]; ok {
-		s.digest ^= old.digest()
-	}
-	s.records[record.ID] = record
-	s.digest ^= record.digest()
-	delete(s.removals, record.ID)
-	if h, ok := s.held[record.ID]; ok && !h.Position.After(record.Position) {
-		delete(s.held, record.ID)
+	s.digest ^= s.digestOf(record.ID)
+	s.records.set(record.ID, record.Name, record)
+	s.digest ^= s.digestOf(record.ID)
+	s.removals.remove(record.ID, record.Name)
+	if h, ok := s.held.get(record.ID, record.Name); ok && !h.Position.After(record.Position) {
+		s.held.remove(record.ID, record.Name)
 	}
 	ch.Targets = true
 	ch.EventCount++
 }
 
-func (s *targetSet) remove(id TargetID, gone removal, ch *Change) {
-	record := s.records[id]
-	s.digest ^= record.digest()
-	delete(s.records, id)
-	s.addRemoval(id, gone)
+func (s *targetSet) remove(id TargetID, name string, gone removal, ch *Change) {
+	s.digest ^= s.digestOf(id)
+	s.records.remove(id, name)
+	s.digest ^= s.digestOf(id)
+	s.addRemoval(id, name, gone)
 	ch.Targets = true
 	ch.EventCount++
 }
 
+// digestOf returns a digest of the entries of an ID. Only if there are several, it
+// depends on their names, which hosts of the previous release do not know.
+func (s *targetSet) digestOf(id TargetID) uint64 {
+	entries := s.records.byID[id]
+	if len(entries) == 1 {
+		return entries[0].value.digest()
+	}
+	digest := uint64(0)
+	for i := range entries {
+		b := binary.LittleEndian.AppendUint64([]byte(entries[i].name), entries[i].value.digest())
+		digest ^= xxhash.Sum64(b)
+	}
+	return digest
+}
+
 // tick lets the held entries take effect once this host has been in the current
 // era for holdTime, and drops removals that are no longer needed.
 func (s *targetSet) tick(now time.Time, era uint64, ch *Change) {
@@ -289,19 +354,19 @@
 		return
 	}
 	s.lastSweep = now
-	maps.DeleteFunc(s.removals, func(_ TargetID, r removal) bool {
+	s.removals.removeFunc(func(_ TargetID, _ string, r removal) bool {
 		return now.Sub(r.at) >= removalTime || (s.settled(now) && r.position.Era != era && !r.stamp.Draining)
 	})
 	if !s.settled(now) {
 		return
 	}
-	for _, record := range s.held {
-		s.list(record, ch)
+	for _, e := range s.held.all() {
+		s.list(e.value, ch)
 	}
-	s.held = nil
+	s.held = entryMap[TargetRecord]{}
 }
 
-// digest returns a digest of the entry, without the warm-up time.
+// digest returns a digest of the entry, without its name and the warm-up time.
 func (t *Target) digest() uint64 {
 	var b []byte
 	for _, text := range []string{t.Service, t.Zone, t.Address.String()} {
--- a/internal/hsfeed/types.go
+++ b/internal/hsfeed/types.go
@@ -20,7 +20,8 @@
 
 type (
 	// TargetID identifies a target. A target that restarts may keep its ID; its
-	// start time then differs.
+	// start time then differs. Several entries in the store may have the same ID,
+	// although only one of them is the target's.
 	TargetID uint64
 
 	// Position is a point in the history of the store.
@@ -42,6 +43,9 @@
 	// an entry is valid; hosts do not use invalid ones.
 	Target struct {
 		ID TargetID
+		// Name of the entry in the store, at most MaxNameSize bytes; empty if
+		// unknown. It tells entries apart that have the same ID.
+		Name string
 		// Names of 1 to MaxNameSize bytes, as Zone.
 		Service string
 		// Unicast address and port.
@@ -121,6 +125,8 @@
 		Target *Target
 		// ID of a target that is no longer listed.
 		Removed TargetID
+		// Name of the entry that was removed; empty if unknown, see Target.Name.
+		RemovedName string
 		// Stamp of the entry that was removed; zero if unknown.
 		RemovedStamp Stamp
 		// A request for an evacuation, or its end.
