hscookie: keep the flows of a target whose ID another service's entry has

Callers: if the entry of a running target lapses while an entry of another service with the same ID is in the store, packets of the target's open flows were dropped (4017) until its own entry was back.

Cause: a target that is no longer listed is kept by its ID, and the other entry took that place, with another cookie.

Change: such targets are kept beside (targets.displaced), found by cookie until the maximum lifetime of a flow is over.

Test: TestDisplacedTargetKeepsFlows, which fails without the change at the first packet after the lapse.

--- a/internal/hscookie/core_test.go
+++ b/internal/hscookie/core_test.go
@@ -106,6 +106,30 @@
 	assert.Equal(t, c.HandlePacket(epoch.Add(flowLifetime), laterPacket(caller, deskAddr, v.Cookie)).Action, Drop)
 }
 
+// TestDisplacedTargetKeepsFlows guards against open flows that are cut when the entry
+// of a running target lapses while an entry of another service has its ID.
+func TestDisplacedTargetKeepsFlows(t *testing.T) {
+	own, other := target(1, "desk"), target(1, "unknown")
+	other.Address = netip.MustParseAddrPort("10.0.0.9:80")
+	c := newCore(own)
+	cookie := c.HandlePacket(epoch, openPacket(caller, deskAddr)).Cookie
+	goesOn := func(at time.Time) bool {
+		v := c.HandlePacket(at, laterPacket(caller, deskAddr, cookie))
+		return v.Action == Forward && v.To == own.Address
+	}
+	c.SetTargets(epoch, []hsfeed.TargetRecord{other})
+	assert.Assert(t, goesOn(epoch))
+	assert.Assert(t, c.HandlePacket(epoch, openPacket(callerWithPort(1), deskAddr)).Action != Forward)
+	c.SetTargets(epoch, []hsfeed.TargetRecord{own})
+	assert.Assert(t, goesOn(epoch))
+	assert.Equal(t, c.HandlePacket(epoch, openPacket(callerWithPort(2), deskAddr)).To, own.Address)
+	c.SetTargets(epoch, []hsfeed.TargetRecord{other})
+	c.SetTargets(epoch, nil)
+	assert.Assert(t, goesOn(epoch))
+	c.SetTargets(epoch.Add(flowLifetime), nil)
+	assert.Assert(t, !goesOn(epoch.Add(flowLifetime)))
+}
+
 // TestRemovedRoute checks that a removed route accepts no new flows, that an
 // open flow can complete its request, and that the flow is reset afterwards.
 func TestRemovedRoute(t *testing.T) {
--- a/internal/hscookie/routes.go
+++ b/internal/hscookie/routes.go
@@ -30,7 +30,11 @@
 	// targets holds the listed targets, and those that were removed from the
 	// list recently.
 	targets struct {
-		byID     map[hsfeed.TargetID]*destination
+		byID map[hsfeed.TargetID]*destination
+		// Targets that were removed from the list recently, and whose ID another
+		// target in byID has now. Their cookies differ from that target's.
+		displaced []*destination
+		// The targets of byID and displaced.
 		byCookie map[Cookie][]*destination
 	}
 
@@ -82,33 +86,60 @@
 	byID := make(map[hsfeed.TargetID]*destination, len(list))
 	for i := range list {
 		record := &list[i]
+		cookie := NewCookie(record.Service, record.ID)
 		byID[record.ID] = &destination{
 			id:      record.ID,
 			service: record.Service,
 			zone:    record.Zone,
 			address: record.Address,
-			cookie:  NewCookie(record.Service, record.ID),
+			cookie:  cookie,
 
-			entryHistory: newHistory(now, record, t.byID[record.ID]),
+			entryHistory: newHistory(now, record, t.known(record.ID, cookie)),
 		}
 	}
-	for id, old := range t.byID {
-		if byID[id] != nil {
-			continue
+	var displaced []*destination
+	keep := func(old *destination) {
+		d := byID[old.id]
+		if d != nil && d.cookie == old.cookie {
+			return
 		}
 		if old.keepUntil.IsZero() {
 			old.keepUntil = now.Add(maxLifetime)
 			old.removedAt = now
 		}
-		if now.Before(old.keepUntil) {
-			byID[id] = old
+		switch {
+		case !now.Before(old.keepUntil):
+		case d == nil:
+			byID[old.id] = old
+		default:
+			displaced = append(displaced, old)
 		}
 	}
+	for _, old := range t.byID {
+		keep(old)
+	}
+	for _, old := range t.displaced {
+		keep(old)
+	}
 	t.byID = byID
+	t.displaced = displaced
 	t.byCookie = make(map[Cookie][]*destination, len(byID))
 	for _, d := range byID {
 		t.byCookie[d.cookie] = append(t.byCookie[d.cookie], d)
 	}
+	for _, d := range displaced {
+		t.byCookie[d.cookie] = append(t.byCookie[d.cookie], d)
+	}
+}
+
+// known returns the target with an ID and a cookie, or nil.
+func (t *targets) known(id hsfeed.TargetID, c Cookie) *destination {
+	for _, d := range t.byCookie[c] {
+		if d.id == id {
+			return d
+		}
+	}
+	return nil
 }
 
 // setPools sets the limits that apply to the listed targets.
