--- a/internal/hsdirect/control.go
+++ b/internal/hsdirect/control.go
@@ -264,12 +264,15 @@
 	}
 }
 
-// logInvalid logs what is invalid in one update.
+// logInvalid logs what is not used of one update.
 func (c *controller) logInvalid(errs hscode.Errors) {
 	for i, err := range errs {
 		field, message := "key", "ignoring invalid entry in the store"
-		if err.Code == hscode.PeerMessage {
+		switch err.Code {
+		case hscode.PeerMessage:
 			field, message = "event", "ignoring invalid event of a peer"
+		case hscode.PlatformDuplicate:
+			field, message = "name", "ignoring entry in the store whose target ID another entry has"
 		}
 		line := c.e.log(log.WarnLevel, err.Code)
 		if i == maxInvalidLines {
--- a/internal/hsdirect/core.go
+++ b/internal/hsdirect/core.go
@@ -83,8 +83,8 @@
 		HostCount int
 		// Result codes to count.
 		Codes []hscode.Code
-		// Invalid entries of the store, or events of a peer, to log; see
-		// hsfeed.Update.
+		// Entries of the store, or events of a peer, that are not used, to log: invalid
+		// ones, see hsfeed.Update, and those whose ID another entry has.
 		Invalid hscode.Errors
 	}
 
@@ -132,6 +132,8 @@
 		members *hsbudget.Members
 		// Availability zones of the listed targets, sorted.
 		targetZones []string
+		// Names of the entries that are not listed because of another one.
+		unlisted map[string]bool
 		// When the peers that are alive were last added to members, and number of
 		// hosts that were alive then.
 		peersHeardAt time.Time
@@ -428,6 +430,7 @@
 		c.out.Targets = c.state.Targets()
 		c.out.TargetsChanged = true
 		c.targetZones = zonesOf(c.out.Targets)
+		c.reportUnlisted()
 	}
 	if ch.Evacuations {
 		c.out.Evacuations = c.state.Evacuations()
@@ -439,6 +442,23 @@
 	c.announceState()
 }
 
+// reportUnlisted reports entries that are not listed because of another one with
+// the same target ID, and were not reported before.
+func (c *Core) reportUnlisted() {
+	reported := c.unlisted
+	c.unlisted = nil
+	for _, record := range c.state.UnlistedEntries() {
+		if c.unlisted == nil {
+			c.unlisted = map[string]bool{}
+		}
+		c.unlisted[record.Name] = true
+		if !reported[record.Name] {
+			c.countCode(hscode.PlatformDuplicate)
+			c.out.Invalid = append(c.out.Invalid, hscode.New(hscode.PlatformDuplicate, record.Name, "has the ID of another entry: %x", uint64(record.ID)))
+		}
+	}
+}
+
 // zonesOf returns the availability zones of targets, sorted.
 func zonesOf(targets []hsfeed.TargetRecord) []string {
 	zones := map[string]bool{}
--- a/internal/hsdirect/relay_test.go
+++ b/internal/hsdirect/relay_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"heatherstack.org/heatherstack/internal/hscode"
 	"heatherstack.org/heatherstack/internal/hsfeed"
 	"heatherstack.org/heatherstack/internal/hsschema"
 )
@@ -129,6 +130,31 @@
 	}
 }
 
+// TestUnlistedEntryIsReported guards against an entry that is not used without a
+// log line, or with one for each change of another target.
+func TestUnlistedEntryIsReported(t *testing.T) {
+	core := NewCore(CoreConfig{Self: netip.MustParseAddr("10.0.0.1"), Zone: "a", Boot: 1})
+	now, revision := time.Unix(1_000_000, 0), uint64(0)
+	apply := func(ev hsfeed.Event) hscode.Errors {
+		revision++
+		ev.Revision = revision
+		out := core.ApplyStoreUpdate(now, &hsfeed.Update{Since: revision - 1, Revision: revision, Events: []hsfeed.Event{ev}})
+		assert.Equal(t, len(out.Codes), len(out.Invalid))
+		return out.Invalid
+	}
+	entry := func(id hsfeed.TargetID, name string) hsfeed.Event {
+		return hsfeed.Event{Target: &hsfeed.Target{ID: id, Name: name, Service: "desk", Address: netip.MustParseAddrPort("10.0.1.1:80"), Zone: "a", Slots: 3}}
+	}
+	assert.Equal(t, len(apply(entry(1, "i-1"))), 0)
+	reported := apply(entry(1, "old-1"))
+	assert.Equal(t, len(reported), 1)
+	assert.Equal(t, reported[0].Code, hscode.PlatformDuplicate)
+	assert.Equal(t, reported[0].Path, "old-1")
+	assert.Equal(t, len(apply(entry(2, "i-2"))), 0)
+	assert.Equal(t, len(apply(hsfeed.Event{Removed: 1, RemovedName: "old-1"})), 0)
+	assert.Equal(t, len(apply(entry(1, "old-1"))), 1)
+}
+
 // TestInvalidEntryOfPeer guards against hosts that stop following a peer, or that
 // fetch its state again and again, while that peer lists an entry which they
 // reject, as a reader of the previous release does.
