hssoak: invalid entries with the IDs of running targets

Another program writes and removes entries of other names with the IDs of running targets: invalid ones, and ones of an unknown service. In the end each target has an invalid one.

--- a/internal/hssoak/invalidentry.go
+++ b/internal/hssoak/invalidentry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net/netip"
 	"time"
@@ -65,12 +66,67 @@
 			s.trace("remove invalid entry %x", uint64(id))
 			s.cfg.Store.Publish(&hsfeed.Event{Removed: id})
 		} else {
-			fault := s.cfg.Store.PublishInvalid(&hsfeed.Target{
-				ID: id, Service: services[rng.IntN(len(services))], Zone: zoneName(rng.IntN(zoneCount)), Slots: targetSlots,
-				Address: s.invalidAddr(n),
-			}, rng)
+			fault := s.cfg.Store.PublishInvalid(s.invalidEntryOf(rng, id, n), rng)
 			s.trace("invalid entry %x: %s", uint64(id), fault)
 		}
 		hstask.Sleep(ctx, randDuration(rng, minFaultTime, maxInvalidInterval))
 	}
 }
+
+// leaveSimilarEntries writes and removes entries until the given time that have the
+// ID of a target that runs, under another name: invalid ones, and ones of an unknown
+// service at another address. They must not change what hosts do.
+func (s *soak) leaveSimilarEntries(ctx context.Context, end time.Time) {
+	rng := rand.New(rand.NewPCG(s.cfg.Seed, 6))
+	for time.Now().Before(end) && ctx.Err() == nil {
+		if ids := s.targetIDs(); len(ids) > 0 {
+			s.leaveSimilarEntry(rng, ids[rng.IntN(len(ids))], rng.IntN(3))
+		}
+		hstask.Sleep(ctx, randDuration(rng, minFaultTime, maxInvalidInterval))
+	}
+}
+
+// leaveAllSimilarEntries writes an invalid entry of another name for each target.
+func (s *soak) leaveAllSimilarEntries() {
+	rng := rand.New(rand.NewPCG(s.cfg.Seed, 7))
+	for _, id := range s.targetIDs() {
+		s.leaveSimilarEntry(rng, id, 0)
+	}
+}
+
+// leaveSimilarEntry writes an invalid entry with the ID of a target (kind 0), writes
+// one of an unknown service, or removes what was written before.
+func (s *soak) leaveSimilarEntry(rng *rand.Rand, id hsfeed.TargetID, kind int) {
+	t := s.invalidEntryOf(rng, id, rng.IntN(invalidCount))
+	t.Name = fmt.Sprintf("old-%x", uint64(id))
+	switch kind {
+	case 0:
+		s.trace("invalid entry %s: %s", t.Name, s.cfg.Store.PublishInvalid(t, rng))
+	case 1:
+		t.Service = "unknown"
+		s.trace("entry %s of an unknown service", t.Name)
+		s.cfg.Store.Publish(&hsfeed.Event{Target: t})
+	default:
+		s.trace("remove entry %s", t.Name)
+		s.cfg.Store.Publish(&hsfeed.Event{Removed: id, RemovedName: t.Name})
+	}
+}
+
+// targetIDs returns the IDs of the targets that run.
+func (s *soak) targetIDs() []hsfeed.TargetID {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ids := make([]hsfeed.TargetID, 0, len(s.targets))
+	for _, t := range s.targets {
+		ids = append(ids, t.entry.ID)
+	}
+	return ids
+}
+
+// invalidEntryOf returns an entry at the n-th address of startInvalidTargets, for
+// a fault to be added.
+func (s *soak) invalidEntryOf(rng *rand.Rand, id hsfeed.TargetID, n int) *hsfeed.Target {
+	return &hsfeed.Target{
+		ID: id, Service: services[rng.IntN(len(services))], Zone: zoneName(rng.IntN(zoneCount)), Slots: targetSlots, Address: s.invalidAddr(n),
+	}
+}
--- a/internal/hssoak/soak.go
+++ b/internal/hssoak/soak.go
@@ -46,8 +46,8 @@
 	Store interface {
 		http.Handler
 		Publish(ev *hsfeed.Event) uint64
-		// PublishInvalid writes an invalid entry under a target's key and returns what
-		// is wrong with it.
+		// PublishInvalid writes an invalid entry under a target's key, or under the
+		// target's name if it has one, and returns what is wrong with it.
 		PublishInvalid(t *hsfeed.Target, rng *rand.Rand) string
 		DropHistory()
 		// Copy copies the content; the returned function restores the copy.
@@ -228,6 +228,10 @@
 			s.leaveInvalidEntries(ctx, end)
 			return nil
 		})
+		running.Go(func() error {
+			s.leaveSimilarEntries(ctx, end)
+			return nil
+		})
 	}
 	for time.Now().Before(end) && ctx.Err() == nil && s.cfg.Faults == AllFaults {
 		s.copyStore()
@@ -246,11 +250,14 @@
 }
 
 // finish restores the store once more and publishes a configuration, with no
-// later changes that would hide a configuration which was ignored. It checks that
-// flows are served again after the recovery time and that planned stops of all
-// processes succeed.
+// later changes that would hide a configuration which was ignored. Each target gets
+// an invalid entry of another name. It checks that flows are served again after the
+// recovery time and that planned stops of all processes succeed.
 func (s *soak) finish(ctx context.Context) {
 	restoreStore(ctx, s, rand.New(rand.NewPCG(s.cfg.Seed, 3)))
+	if s.cfg.Faults != Evacuations {
+		s.leaveAllSimilarEntries()
+	}
 	s.publishConfiguration()
 	hstask.Sleep(ctx, s.cfg.RecoveryTime)
 	s.checker.setRecovered()
--- a/internal/hssoak/soak_test.go
+++ b/internal/hssoak/soak_test.go
@@ -73,6 +73,18 @@
 	assert.Assert(t, countViolations(rep, "the target of an invalid entry") > 0, "%+v", *rep)
 }
 
+// TestSoakDetectsConfusedEntries guards against a soak that passes although hosts
+// take entries of different names for one. The fault is built into the program of
+// all hosts.
+func TestSoakDetectsConfusedEntries(t *testing.T) {
+	folder := t.TempDir()
+	faulty := buildFaulty(t, folder, "../hsfeed/entrymap.go", "return v.name == name", "return true")
+	rep := runShort(t, hssoak.Config{
+		Faults: hssoak.InvalidEntries, Seed: 1, Duration: 4 * time.Second, Folder: folder, Binary: faulty,
+	})
+	assert.Assert(t, len(rep.Violations) > 0, "%+v", *rep)
+}
+
 // buildFaulty builds hsdirect with a text of one source file replaced, and returns
 // its path in the folder.
 func buildFaulty(t *testing.T, folder, file, old, replacement string) string {
