--- a/internal/hsdirect/record.go
+++ b/internal/hsdirect/record.go
@@ -31,7 +31,7 @@
 	// maxLinesPerSecond limits the log lines about flows: logging a burst of
 	// refused flows must not cost more than processing their packets.
 	maxLinesPerSecond = 25
-	// sampleMask selects one in 64 flows, whose placements and holds are logged.
+	// sampleMask selects one in 64 flows, whose opening packets are logged.
 	// All hosts select the same flows.
 	sampleMask = 63
 )
@@ -50,8 +50,14 @@
 		Str("action", v.Action.String()).
 		Uint32("copies", p.Retransmits).
 		Uint64("version", core.ConfigurationVersion())
+	if v.Action == hscookie.Forward {
+		line = line.Uint64("target", uint64(v.Target)).Bool("placed", v.Placed)
+	}
 	if v.Choice.PoolSize > 0 {
-		line = line.Uint64("target", uint64(v.Choice.Target)).
+		if v.Action != hscookie.Forward {
+			line = line.Uint64("target", uint64(v.Choice.Target))
+		}
+		line = line.
 			Int("own", v.Choice.OwnRequests).
 			Int("others", v.Choice.ReportedRequests).
 			Int("pool", v.Choice.PoolSize).
@@ -74,13 +80,13 @@
 func roundTenth(x float64) float64 { return math.Round(10*x) / 10 }
 
 // shouldLog reports whether a decision is selected for logging: every refusal
-// and every dropped opening packet, and the placements and holds of sampled
-// flows.
+// and every dropped opening packet, and what happens to the other opening packets
+// of sampled flows.
 func shouldLog(p *hscookie.Packet, v *hscookie.Verdict) bool {
 	if v.Action == hscookie.Refuse || (v.Action == hscookie.Drop && p.HasAny(hscookie.FlagOpen)) {
 		return true
 	}
-	if !v.Placed && v.Action != hscookie.Hold {
+	if !p.HasAny(hscookie.FlagOpen) {
 		return false
 	}
 	key := p.Key()
