hscookie: open flows only at services that the route leads to now

Cause: a retransmission followed the first packet if hasService held, which is true for previous services of the route too.

Change: checkOpening decides whether a further opening packet may go to the target chosen before, as the current configuration says: the target exists, the route leads to its service, its zone is not being evacuated. Metric flow_moved.

--- a/internal/hscookie/core.go
+++ b/internal/hscookie/core.go
@@ -60,10 +60,12 @@
 
 	// Stats counts decisions.
 	Stats struct {
-		// Opening packets for which this host chose a target, and
-		// retransmissions that were forwarded to the target chosen before.
+		// Opening packets for which this host chose a target, retransmissions that
+		// were forwarded to the target chosen before, and those that it may not get
+		// any more.
 		Placed      uint64
 		Retransmits uint64
+		Moved       uint64
 		// Packets forwarded to targets, including opening packets.
 		Forwarded uint64
 		Resets    uint64
@@ -360,21 +362,21 @@
 	}
 	if f := c.flows.Get(key, hash); f != nil && f.isRetransmission(p) {
 		d := c.targets.byID[f.target]
+		code := c.checkOpening(now, r, d)
 		switch {
-		case d == nil || !r.hasService(d.service):
-		case c.isReplaced(now, d):
-		case !c.placer.IsEvacuated(d.zone):
+		case code == hscode.OK:
 			c.Stats.Retransmits++
 			f.lastSeen = c.uptime(now)
 			if f.unanswered {
 				c.startRequest(f, f.lastSeen)
 			}
 			return Verdict{Action: Forward, To: d.address, Target: d.id, Cookie: d.cookie}
-		case f.opened && !f.unanswered:
+		case f.opened && !f.unanswered && code != hscode.FlowTargetGone:
 			// The caller has had its answer: the packet was delayed on its way. It
-			// must neither arrive in the zone nor open the flow at a second target.
-			return Verdict{Code: hscode.FlowEvacuated}
+			// must neither arrive at the target nor open the flow at a second one.
+			return Verdict{Code: code}
 		default:
+			c.Stats.Moved++
 			c.removeFlow(key, hash, f)
 		}
 	}
@@ -385,6 +387,22 @@
 	return c.withLimit(c.admit(now, r, &h), h.service)
 }
 
+// checkOpening returns OK if a further opening packet of a flow may be sent to
+// target d, which was chosen earlier and may be nil, or else the reason why not.
+// It has to be handled as the current configuration says: an open flow may stay at
+// a previous service of its route, but none may be opened there.
+func (c *Core) checkOpening(now time.Time, r *knownRoute, d *destination) hscode.Code {
+	switch {
+	case d == nil, c.isReplaced(now, d):
+		return hscode.FlowTargetGone
+	case !r.leadsTo(d.service):
+		return hscode.FlowMoved
+	case c.placer.IsEvacuated(d.zone):
+		return hscode.FlowEvacuated
+	}
+	return hscode.OK
+}
+
 // Tick does the work that depends on time: it handles unanswered opening
 // packets, removes expired reports, targets, held packets and flows, and
 // measures the rate of placed flows.
--- a/internal/hscookie/routes.go
+++ b/internal/hscookie/routes.go
@@ -166,15 +166,15 @@
 	return found
 }
 
-// hasService reports whether the route leads to a service, or did so in an
-// earlier configuration.
+// leadsTo reports whether new flows of the route may go to a service.
+func (r *knownRoute) leadsTo(service string) bool {
+	return slices.ContainsFunc(r.Shares, func(s hsfeed.Share) bool { return s.Service == service })
+}
+
+// hasService reports whether open flows of the route may be at a service: the route
+// leads to it, or did so in an earlier configuration.
 func (r *knownRoute) hasService(service string) bool {
-	for i := range r.Shares {
-		if r.Shares[i].Service == service {
-			return true
-		}
-	}
-	return slices.Contains(r.PreviousServices, service)
+	return r.leadsTo(service) || slices.Contains(r.PreviousServices, service)
 }
 
 // serviceFor returns the service for a new flow with the given hash. All hosts
--- a/internal/hsdirect/metrics.go
+++ b/internal/hsdirect/metrics.go
@@ -49,6 +49,7 @@
 		uintMetric("flow_held", uint64(d.Flows)),
 		uintMetric("flow_placed", s.Placed),
 		uintMetric("flow_copies", s.Retransmits),
+		uintMetric("flow_moved", s.Moved),
 		uintMetric("flow_adopted", s.MidstreamFlows),
 		uintMetric("flow_expired", s.Expired),
 		uintMetric("flow_reset", s.Resets),
