hscookie: drop a delayed opening packet of a flow that opened through another host

Callers: if routers move a flow after its opening packet and a delayed copy of that packet arrives at the new host after the flow's later packets, while its zone is being evacuated or after its route has changed, the flow was opened at a second target, or its caller sent a reset.

Cause: only a flow whose first packet passed this host counted as answered.

Change: any later packet shows that the caller has had its answer.

Test: TestRetransmissionOfOpenFlow, the two cases with no first packet; before, the copy was forwarded to the vault target, and refused.

--- a/internal/hscookie/core.go
+++ b/internal/hscookie/core.go
@@ -371,9 +371,10 @@
 				c.startRequest(f, f.lastSeen)
 			}
 			return Verdict{Action: Forward, To: d.address, Target: d.id, Cookie: d.cookie}
-		case f.opened && !f.unanswered && code != hscode.FlowTargetGone:
-			// The caller has had its answer: the packet was delayed on its way. It
-			// must neither arrive at the target nor open the flow at a second one.
+		case !f.unanswered && code != hscode.FlowTargetGone:
+			// The caller has had its answer, maybe through another host: the packet
+			// was delayed on its way. It must neither arrive at the target nor open
+			// the flow at a second one.
 			return Verdict{Code: code}
 		default:
 			c.Stats.Moved++
--- a/internal/hscookie/opening_test.go
+++ b/internal/hscookie/opening_test.go
@@ -1,6 +1,7 @@
 package hscookie
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -66,16 +67,37 @@
 }
 
 // TestRetransmissionOfOpenFlow guards against a delayed opening packet that opens an
-// answered flow a second time after its route has changed. The flow goes on.
+// answered flow a second time after its route has changed or its zone is being
+// evacuated, at the host of the first packet or at another one. The flow goes on.
 func TestRetransmissionOfOpenFlow(t *testing.T) {
-	c := newCore(target(1, "desk"), target(3, "vault"))
-	cookie := c.HandlePacket(epoch, repeated(0)).Cookie
-	c.HandlePacket(epoch, laterPacket(caller, deskAddr, cookie))
-	c.SetConfiguration(epoch, configuration(2, route(deskAddr, "vault", "desk")))
-	v := c.HandlePacket(epoch.Add(transmitTimes[1]), repeated(1))
-	assert.Equal(t, v.Action, Drop)
-	assert.Equal(t, v.Code, hscode.FlowMoved)
-	assert.Equal(t, c.HandlePacket(epoch.Add(time.Second), laterPacket(caller, deskAddr, cookie)).Target, hsfeed.TargetID(1))
+	elsewhere := target(3, "vault")
+	elsewhere.Zone = "b"
+	for name, change := range map[string]func(c *Core) hscode.Code{
+		"route changed": func(c *Core) hscode.Code {
+			c.SetConfiguration(epoch, configuration(2, route(deskAddr, "vault", "desk")))
+			return hscode.FlowMoved
+		},
+		"zone evacuated": func(c *Core) hscode.Code {
+			c.SetEvacuations(epoch, []string{"a"})
+			return hscode.FlowEvacuated
+		},
+	} {
+		for _, first := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, first packet %t", name, first), func(t *testing.T) {
+				c := newCore(target(1, "desk"), elsewhere)
+				if first {
+					c.HandlePacket(epoch, repeated(0))
+				}
+				cookie := NewCookie("desk", 1)
+				c.HandlePacket(epoch, laterPacket(caller, deskAddr, cookie))
+				want := change(c)
+				v := c.HandlePacket(epoch.Add(transmitTimes[1]), repeated(1))
+				assert.Equal(t, v.Action, Drop)
+				assert.Equal(t, v.Code, want)
+				assert.Equal(t, c.HandlePacket(epoch.Add(time.Second), laterPacket(caller, deskAddr, cookie)).Target, hsfeed.TargetID(1))
+			})
+		}
+	}
 }
 
 // TestHeldRetransmissionAfterRouteChange guards against a retransmitted opening packet
