hscookie: drop a held opening packet once its flow is open

Callers: a flow that a repeated opening packet has opened, through another host or at the target chosen before its route changed, was opened at a second target when the held packet was released.

Change: the first later packet of a flow that is not tracked drops the held opening packet (4021, now flow-already-open). The queue is searched for such packets only.

Test: TestHeldPacketOfOpenFlow; without the change, the packet is released.

--- a/internal/hscode/hscode.go
+++ b/internal/hscode/hscode.go
@@ -94,7 +94,7 @@
 	FlowOverload      Code = 4018
 	FlowEvacuated     Code = 4019
 	FlowTargetLost    Code = 4020
-	FlowMoved         Code = 4021
+	FlowAlreadyOpen         Code = 4021
 
 	PeerUnknown  Code = 5001
 	PeerMAC      Code = 5002
@@ -174,7 +174,7 @@
 	{FlowOverload, "flow-overload", "No target had capacity for the flow in time; the opening packet was refused and no request was run.", "Add targets, or find out what keeps their slots in use."},
 	{FlowEvacuated, "flow-evacuated", "All targets of the service are in zones that are being evacuated; the opening packet was refused and no request was run. Or the packet repeats the opening one of an open flow in such a zone, and was dropped.", "End an evacuation, or add targets in other zones."},
 	{FlowTargetLost, "flow-target-lost", "The flow's target no longer exists; the flow was reset so that its caller can open another.", "Find out why the target ended without draining."},
-	{FlowMoved, "flow-moved", "An opening packet was repeated although its flow is open at a target of a service that the route no longer leads to; the packet was dropped.", "Nothing; the flow goes on."},
+	{FlowAlreadyOpen, "flow-already-open", "An opening packet was repeated, or held, although its flow is open by now, through another host or at a target of a service that the route no longer leads to; the packet was dropped.", "Nothing; the flow goes on."},
 	{PeerUnknown, "peer-unknown", "A message between entry hosts came from an address that is not a listed host.", "Look for a host that is not listed, or for a sender of forged packets."},
 	{PeerMAC, "peer-mac", "The MAC of a control message is wrong.", "Compare the key settings of the hosts."},
 	{PeerMessage, "peer-message", "A control message cannot be decoded, or an event in it is invalid and was ignored.", "Check that releases are compatible."},
--- a/internal/hscookie/admit.go
+++ b/internal/hscookie/admit.go
@@ -273,6 +273,16 @@
 	c.held.Clear()
 }
 
+// dropHeldOf drops the held opening packet of a flow that is open: one that was sent
+// again has opened it, through another host or at an earlier target. Released, the
+// held one would open it at a second target.
+func (c *Core) dropHeldOf(key *hsflow.Key) {
+	if it := c.held.Find(func(h *heldPacket) bool { return h.key == *key }); it != nil {
+		c.CodeCounts[hscode.FlowAlreadyOpen]++
+		c.held.Remove(it)
+	}
+}
+
 // dropAbandoned drops held packets whose callers have abandoned the attempt.
 func (c *Core) dropAbandoned(now time.Time) {
 	for _, ok := c.held.RemoveExpired(now); ok; _, ok = c.held.RemoveExpired(now) {
--- a/internal/hscookie/core.go
+++ b/internal/hscookie/core.go
@@ -397,7 +397,7 @@
 	case d == nil, c.isReplaced(now, d):
 		return hscode.FlowTargetGone
 	case !r.leadsTo(d.service):
-		return hscode.FlowMoved
+		return hscode.FlowAlreadyOpen
 	case c.placer.IsEvacuated(d.zone):
 		return hscode.FlowEvacuated
 	}
--- a/internal/hscookie/flow.go
+++ b/internal/hscookie/flow.go
@@ -157,6 +157,7 @@
 			c.flows.Remove(key, hash)
 			return
 		}
+		c.dropHeldOf(key)
 		if f = c.addFlow(now, key, hash, d.id); f == nil {
 			return
 		}
--- a/internal/hscookie/opening_test.go
+++ b/internal/hscookie/opening_test.go
@@ -75,7 +75,7 @@
 	for name, change := range map[string]func(c *Core) hscode.Code{
 		"route changed": func(c *Core) hscode.Code {
 			c.SetConfiguration(epoch, configuration(2, route(deskAddr, "vault", "desk")))
-			return hscode.FlowMoved
+			return hscode.FlowAlreadyOpen
 		},
 		"zone evacuated": func(c *Core) hscode.Code {
 			c.SetEvacuations(epoch, []string{"a"})
@@ -100,6 +100,25 @@
 	}
 }
 
+// TestHeldPacketOfOpenFlow guards against a held opening packet that opens a flow at a
+// second target, after later packets of the flow have shown that it is open.
+func TestHeldPacketOfOpenFlow(t *testing.T) {
+	c := fullCore(t)
+	assert.Equal(t, c.HandlePacket(epoch, repeated(0)).Action, Hold)
+	assert.Equal(t, c.HandlePacket(epoch, openPacket(callerWithPort(9), deskAddr)).Action, Hold)
+	now := epoch.Add(transmitTimes[1])
+	// A copy that went through another host was answered.
+	c.HandlePacket(now, laterPacket(caller, deskAddr, NewCookie("desk", 1)))
+	c.SetTargets(now, []hsfeed.TargetRecord{target(1, "desk"), target(2, "desk")})
+	p, v, ok := c.Release(now)
+	assert.Assert(t, ok)
+	assert.Equal(t, p.From, callerWithPort(9), "packets of other flows are released")
+	assert.Equal(t, v.Action, Forward)
+	_, _, ok = c.Release(now)
+	assert.Assert(t, !ok)
+	assert.Equal(t, c.CodeCounts[hscode.FlowAlreadyOpen], uint64(1))
+}
+
 // TestHeldRetransmissionAfterRouteChange guards against a retransmitted opening packet
 // that is held for the new service, and goes to the previous one when it is sent
 // again or released.
