--- a/internal/hscode/hscode.go
+++ b/internal/hscode/hscode.go
@@ -94,7 +94,7 @@
 	FlowOverload      Code = 4018
 	FlowEvacuated     Code = 4019
 	FlowTargetLost    Code = 4020
-	FlowAlreadyOpen         Code = 4021
+	FlowAlreadyOpen   Code = 4021
 
 	PeerUnknown  Code = 5001
 	PeerMAC      Code = 5002
