--- a/internal/hssoak/host.go
+++ b/internal/hssoak/host.go
@@ -36,7 +36,9 @@
 	exited chan struct{}
 	// True once the run has sent the current process a signal that ends it.
 	stopping bool
-	// Time at which the process was last started or sent a signal.
+	// Time at which the process was last started, and at which it was last started or
+	// sent a signal.
+	started   time.Time
 	disturbed time.Time
 	// Number of consecutive readiness checks that failed.
 	failedProbes int
@@ -93,7 +95,8 @@
 	h.cmd = cmd
 	h.exited = make(chan struct{})
 	h.stopping = false
-	h.disturbed = time.Now()
+	h.started = time.Now()
+	h.disturbed = h.started
 	h.s.checker.processStarted()
 	exited := h.exited
 	h.s.g.Go(func() error {
@@ -146,14 +149,14 @@
 func (h *host) terminate(ctx context.Context) {
 	h.signal(syscall.SIGTERM)
 	h.mu.Lock()
-	exited, cmd := h.exited, h.cmd
+	exited, cmd, age := h.exited, h.cmd, time.Since(h.started)
 	h.mu.Unlock()
 	limit := time.NewTimer(stopTimeout + stopSlack + h.s.cfg.Slack)
 	defer limit.Stop()
 	select {
 	case <-exited:
 		if code := cmd.ProcessState.ExitCode(); code != 0 {
-			h.s.checker.fail("planned stop of %s ended with %s", h.settings.Name, cmd.ProcessState)
+			h.s.checker.fail("planned stop of %s, %v after its start, ended with %s", h.settings.Name, age, cmd.ProcessState)
 		}
 	case <-limit.C:
 		h.s.checker.fail("planned stop of %s exceeded its time limit", h.settings.Name)
