hsfeed: list only targets of services that the configuration names

Cause: such an entry was listed like any other, and a later target at the address is evidence that the earlier one has ended. The log names it: 4020, address reused, successor the entry's ID; no 4017, so that its place was not taken.

Change: the replica lists an entry only if the current configuration names its service, under services or in a route (present or previous). A configuration that names other services lists anew. Unlisted entries stay part of state and digest, and are logged once (6008).

--- a/internal/hscode/hscode.go
+++ b/internal/hscode/hscode.go
@@ -112,6 +112,7 @@
 	PlatformEntry     Code = 6005
 	PlatformOlder     Code = 6006
 	PlatformDuplicate Code = 6007
+	PlatformService   Code = 6008
 
 	ProcessSocket Code = 7001
 	ProcessPaused Code = 7002
@@ -189,6 +190,7 @@
 	{PlatformEntry, "platform-entry", "An entry of the store cannot be decoded or has a value that is out of range; it is not used.", "Find out which program wrote it; the path is its key."},
 	{PlatformOlder, "platform-older", "The store has a configuration that is older than the current one, or lacks the evacuation of a zone; the current state stays: the store was restored from a copy.", "Publish the current configuration again, or a newer one; write the evacuation again, or write and remove it."},
 	{PlatformDuplicate, "platform-duplicate", "Two entries of the store have the same target ID; one of them is not used.", "Find out which program wrote the entry that the path names, and remove it if the target did not."},
+	{PlatformService, "platform-service", "The configuration does not name the service of a target's entry; the entry is not used until it does.", "Publish a configuration with the service, or find out which program wrote the entry that the path names."},
 	{ProcessSocket, "process-socket", "A socket could not be opened or used.", "Check address and port settings, and which other programs run on the host."},
 	{ProcessPaused, "process-paused", "The process was paused for longer than its limit, such as the lease setting.", "Find out what paused the process."},
 	{ProcessSend, "process-send", "A packet could not be sent.", "Check routes and socket buffer sizes."},
--- a/internal/hscookie/lost_explore_test.go
+++ b/internal/hscookie/lost_explore_test.go
@@ -527,13 +527,21 @@
 }
 
 // writeByOther changes an entry without its target: it marks the entry of a dead
-// target as draining, or removes that of a live one.
+// target as draining, removes that of a live one, or gives the address of a live one
+// to an entry of an unknown service, which stays.
 func (x *lossWorld) writeByOther(t *lossTarget) {
 	r := x.listed(t.entry.ID)
 	switch {
 	case r == nil || !x.store.up:
-	case t.alive:
+	case t.alive && x.rng.IntN(2) == 0:
 		x.write(hsfeed.Event{Removed: t.entry.ID})
+	case t.alive:
+		x.nextID++
+		x.store.renewed[x.nextID] = x.now.Add(lossDuration)
+		x.write(hsfeed.Event{Target: &hsfeed.Target{
+			ID: x.nextID, Service: "unknown", Address: t.entry.Address, Zone: t.entry.Zone, Slots: 4,
+			StartUnixMilli: t.entry.StartUnixMilli + x.duration(0, 10*time.Second).Milliseconds(),
+		}})
 	default:
 		entry := r.Target
 		entry.Draining = true
--- a/internal/hsdirect/control.go
+++ b/internal/hsdirect/control.go
@@ -273,6 +273,8 @@
 			field, message = "event", "ignoring invalid event of a peer"
 		case hscode.PlatformDuplicate:
 			field, message = "name", "ignoring entry in the store whose target ID another entry has"
+		case hscode.PlatformService:
+			field, message = "name", "ignoring entry in the store of a service that the configuration does not name"
 		}
 		line := c.e.log(log.WarnLevel, err.Code)
 		if i == maxInvalidLines {
--- a/internal/hsdirect/core.go
+++ b/internal/hsdirect/core.go
@@ -84,7 +84,7 @@
 		// Result codes to count.
 		Codes []hscode.Code
 		// Entries of the store, or events of a peer, that are not used, to log: invalid
-		// ones, see hsfeed.Update, and those whose ID another entry has.
+		// ones, see hsfeed.Update, and those of Replica.UnlistedEntries.
 		Invalid hscode.Errors
 	}
 
@@ -132,8 +132,8 @@
 		members *hsbudget.Members
 		// Availability zones of the listed targets, sorted.
 		targetZones []string
-		// Names of the entries that are not listed because of another one.
-		unlisted map[string]bool
+		// Valid entries that are not listed.
+		unlisted map[hsfeed.UnlistedEntry]bool
 		// When the peers that are alive were last added to members, and number of
 		// hosts that were alive then.
 		peersHeardAt time.Time
@@ -442,20 +442,25 @@
 	c.announceState()
 }
 
-// reportUnlisted reports entries that are not listed because of another one with
-// the same target ID, and were not reported before.
+// reportUnlisted reports valid entries that are not listed, and were not reported
+// before.
 func (c *Core) reportUnlisted() {
 	reported := c.unlisted
 	c.unlisted = nil
-	for _, record := range c.state.UnlistedEntries() {
+	for _, e := range c.state.UnlistedEntries() {
 		if c.unlisted == nil {
-			c.unlisted = map[string]bool{}
+			c.unlisted = map[hsfeed.UnlistedEntry]bool{}
 		}
-		c.unlisted[record.Name] = true
-		if !reported[record.Name] {
-			c.countCode(hscode.PlatformDuplicate)
-			c.out.Invalid = append(c.out.Invalid, hscode.New(hscode.PlatformDuplicate, record.Name, "has the ID of another entry: %x", uint64(record.ID)))
+		c.unlisted[e] = true
+		if reported[e] {
+			continue
 		}
+		err := hscode.New(hscode.PlatformService, e.Name, "service %.32q is not in the configuration", e.Service)
+		if e.Listed != "" {
+			err = hscode.New(hscode.PlatformDuplicate, e.Name, "target ID %x is that of %.64q", uint64(e.ID), e.Listed)
+		}
+		c.countCode(err.Code)
+		c.out.Invalid = append(c.out.Invalid, err)
 	}
 }
 
--- a/internal/hsfeed/entries_test.go
+++ b/internal/hsfeed/entries_test.go
@@ -32,18 +32,19 @@
 		// Name of the entry that is listed, empty if none.
 		want string
 	}{
-		"invalid entry":              {[]Event{configuration(1, "desk"), named(2, "i-1", "desk", 7), removed(3, "old-1")}, []int{0, 1}, "i-1"},
-		"entry of another service":   {[]Event{configuration(1, "desk"), named(2, "i-1", "desk", 7), named(3, "old-1", "unknown", 8)}, []int{0, 1, 2}, "i-1"},
-		"target's entry comes later": {[]Event{configuration(1, "desk"), named(2, "old-1", "unknown", 8), named(3, "i-1", "desk", 7)}, []int{0, 1, 2}, "i-1"},
-		"target's entry is removed":  {[]Event{configuration(1, "desk"), named(2, "old-1", "desk", 6), named(3, "i-1", "desk", 7), removed(4, "i-1")}, []int{0, 1}, "old-1"},
-		"other entry is removed":     {[]Event{configuration(1, "desk"), named(2, "old-1", "desk", 8), named(3, "i-1", "desk", 7), removed(4, "old-1")}, []int{0, 2}, "i-1"},
-		"earlier start":              {[]Event{configuration(1, "desk"), named(2, "a-1", "desk", 6), named(3, "i-1", "desk", 7)}, []int{0, 1, 2}, "i-1"},
-		"same start":                 {[]Event{configuration(1, "desk"), named(2, "old-1", "desk", 7), named(3, "i-1", "desk", 7)}, []int{0, 1, 2}, "i-1"},
-		"service is named later":     {[]Event{named(2, "i-1", "desk", 7), named(3, "old-1", "vault", 8), configuration(4, "desk")}, []int{0, 1, 2}, "i-1"},
-		"service changes":            {[]Event{configuration(1, "desk"), named(2, "i-1", "desk", 7), named(3, "i-1", "vault", 7), named(4, "old-1", "desk", 6)}, []int{0, 2, 3}, "old-1"},
-		"removed without a name":     {[]Event{configuration(1, "desk"), named(2, "i-1", "desk", 7), removed(3, "")}, []int{0}, ""},
-		"name is learned":            {[]Event{configuration(1, "desk"), named(2, "", "desk", 7), named(3, "i-1", "desk", 7)}, []int{0, 2}, "i-1"},
-		"name is kept":               {[]Event{configuration(1, "desk"), named(2, "i-1", "desk", 7), named(3, "", "desk", 8)}, []int{0, 1}, "i-1"},
+		"invalid entry":                {[]Event{configuration(1, "desk"), named(2, "i-1", "desk", 7), removed(3, "old-1")}, []int{0, 1}, "i-1"},
+		"entry of another service":     {[]Event{configuration(1, "desk"), named(2, "i-1", "desk", 7), named(3, "old-1", "unknown", 8)}, []int{0, 1, 2}, "i-1"},
+		"target's entry comes later":   {[]Event{configuration(1, "desk"), named(2, "old-1", "unknown", 8), named(3, "i-1", "desk", 7)}, []int{0, 1, 2}, "i-1"},
+		"target's entry is removed":    {[]Event{configuration(1, "desk"), named(2, "old-1", "desk", 6), named(3, "i-1", "desk", 7), removed(4, "i-1")}, []int{0, 1}, "old-1"},
+		"only another service is left": {[]Event{configuration(1, "desk"), named(2, "old-1", "unknown", 8), named(3, "i-1", "desk", 7), removed(4, "i-1")}, []int{0, 1}, ""},
+		"other entry is removed":       {[]Event{configuration(1, "desk"), named(2, "old-1", "desk", 8), named(3, "i-1", "desk", 7), removed(4, "old-1")}, []int{0, 2}, "i-1"},
+		"earlier start":                {[]Event{configuration(1, "desk"), named(2, "a-1", "desk", 6), named(3, "i-1", "desk", 7)}, []int{0, 1, 2}, "i-1"},
+		"same start":                   {[]Event{configuration(1, "desk"), named(2, "old-1", "desk", 7), named(3, "i-1", "desk", 7)}, []int{0, 1, 2}, "i-1"},
+		"service is named later":       {[]Event{named(2, "i-1", "desk", 7), named(3, "old-1", "vault", 8), configuration(4, "desk")}, []int{0, 1, 2}, "i-1"},
+		"service changes":              {[]Event{configuration(1, "desk"), named(2, "i-1", "desk", 7), named(3, "i-1", "vault", 7), named(4, "old-1", "desk", 6)}, []int{0, 2, 3}, "old-1"},
+		"removed without a name":       {[]Event{configuration(1, "desk"), named(2, "i-1", "desk", 7), removed(3, "")}, []int{0}, ""},
+		"name is learned":              {[]Event{configuration(1, "desk"), named(2, "", "desk", 7), named(3, "i-1", "desk", 7)}, []int{0, 2}, "i-1"},
+		"name is kept":                 {[]Event{configuration(1, "desk"), named(2, "i-1", "desk", 7), named(3, "", "desk", 8)}, []int{0, 1}, "i-1"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			changes, list, peer := &Replica{}, &Replica{}, &Replica{}
--- a/internal/hsfeed/replica.go
+++ b/internal/hsfeed/replica.go
@@ -70,12 +70,13 @@
 // Configuration returns the current configuration, or nil.
 func (r *Replica) Configuration() *Configuration { return r.configuration }
 
-// Targets returns the listed targets in the order of their IDs, one for each ID.
+// Targets returns the listed targets in the order of their IDs, one for each ID. The
+// configuration names their services.
 func (r *Replica) Targets() []TargetRecord { return r.targets.sorted() }
 
-// UnlistedEntries returns the entries of targets that are not listed because
-// another one has the same ID, in the order of their IDs.
-func (r *Replica) UnlistedEntries() []TargetRecord { return r.targets.unlisted() }
+// UnlistedEntries returns the valid entries that are not listed, in the order of
+// their IDs.
+func (r *Replica) UnlistedEntries() []UnlistedEntry { return r.targets.unlisted() }
 
 // Evacuations returns the requests for evacuations that are in force, in the order
 // of their zones.
@@ -283,7 +284,10 @@
 		out[c.Services[i].Name] = true
 	}
 	for i := range c.Routes {
-		for _, name := range append(c.Routes[i].currentServices(), c.Routes[i].PreviousServices...) {
+		for _, s := range c.Routes[i].Shares {
+			out[s.Service] = true
+		}
+		for _, name := range c.Routes[i].PreviousServices {
 			out[name] = true
 		}
 	}
--- a/internal/hsfeed/replica_test.go
+++ b/internal/hsfeed/replica_test.go
@@ -135,7 +135,7 @@
 			assert.Equal(t, replica.Configuration().Version, store.Configuration().Version)
 			assert.DeepEqual(t, evacuatedZones(replica), evacuatedZones(store))
 			assert.Equal(t, replica.Digest(), store.Digest())
-			assert.Assert(t, slices.EqualFunc(replica.UnlistedEntries(), store.UnlistedEntries(), sameTarget))
+			assert.Assert(t, slices.Equal(replica.UnlistedEntries(), store.UnlistedEntries()))
 		}
 	})
 }
--- a/internal/hsfeed/targets.go
+++ b/internal/hsfeed/targets.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -10,7 +12,7 @@
 
 type (
 	// targetSet holds the entries of targets, and what is known about those that were
-	// removed. Of several entries with the same target ID, one is listed; see listed.
+	// removed. Not all entries are listed; see listed.
 	//
 	// The entry that a new era of the store lists may be a copy from before a
 	// change that this host knows: the target drains, was removed or was started
@@ -93,56 +95,67 @@
 func (s *targetSet) settled(now time.Time) bool { return now.Sub(s.eraSince) >= holdTime }
 
 // setServices sets the services that the current configuration names, and records
-// in ch that the listed targets may have changed.
+// in ch whether the listed targets may have changed.
 func (s *targetSet) setServices(c *Configuration, ch *Change) {
-	s.services = c.serviceNames()
-	if s.records.isShared() {
+	services := c.serviceNames()
+	if !maps.Equal(services, s.services) {
+		s.services = services
 		ch.Targets = true
 	}
 }
 
-// listed returns the entry that counts among those of an ID: the one of the latest
-// start among those whose service the configuration names, or among all if there
-// is none. The order of names decides between equal ones, so that hosts with the
-// same state agree.
+// listed returns the entry that counts among those of an ID, or nil if there is
+// none: the one of the latest start among those whose service the configuration
+// names. An entry of another service may be that of a program that is no target;
+// it proves nothing about the targets that are listed. The order of names decides
+// between equal ones, so that hosts with the same state agree. All entries count
+// before the first configuration.
 func (s *targetSet) listed(id TargetID) *TargetRecord {
+	var best *TargetRecord
 	entries := s.records.byID[id]
-	best := &entries[0].value
-	for i := range entries[1:] {
-		e := &entries[i+1].value
-		switch known := s.services[e.Service]; {
-		case known != s.services[best.Service]:
-			if known {
-				best = e
-			}
-		case e.StartUnixMilli > best.StartUnixMilli:
+	for i := range entries {
+		e := &entries[i].value
+		if s.names(e.Service) && (best == nil || e.StartUnixMilli > best.StartUnixMilli) {
 			best = e
 		}
 	}
 	return best
 }
 
+// names reports whether the current configuration names a service.
+func (s *targetSet) names(service string) bool { return s.services == nil || s.services[service] }
+
 // sorted returns the listed targets in the order of their IDs.
 func (s *targetSet) sorted() []TargetRecord {
 	out := make([]TargetRecord, 0, len(s.records.byID))
 	for _, id := range s.records.ids() {
-		out = append(out, *s.listed(id))
+		if record := s.listed(id); record != nil {
+			out = append(out, *record)
+		}
 	}
 	return out
 }
 
-// unlisted returns the entries that are not listed because of another one with
-// the same ID, in the order of their IDs and names.
-func (s *targetSet) unlisted() []TargetRecord {
-	if !s.records.isShared() {
-		return nil
-	}
-	var out []TargetRecord
-	for id, e := range s.records.all() {
-		if e.name != s.listed(id).Name {
-			out = append(out, e.value)
+// unlisted returns the entries that are not listed, in the order of their IDs and
+// names.
+func (s *targetSet) unlisted() []UnlistedEntry {
+	var out []UnlistedEntry
+	for id, entries := range s.records.byID {
+		record := s.listed(id)
+		for _, e := range entries {
+			if record != nil && e.name == record.Name {
+				continue
+			}
+			unlisted := UnlistedEntry{Name: e.name, ID: id, Service: e.value.Service}
+			if s.names(unlisted.Service) {
+				unlisted.Listed = record.Name
+			}
+			out = append(out, unlisted)
 		}
 	}
+	slices.SortFunc(out, func(a, b UnlistedEntry) int {
+		return cmp.Or(cmp.Compare(a.ID, b.ID), compareNames(a.Name, b.Name))
+	})
 	return out
 }
 
--- a/internal/hsfeed/types.go
+++ b/internal/hsfeed/types.go
@@ -159,6 +159,17 @@
 		// End of the target's warm-up time, by the local clock.
 		WarmUpUntil time.Time
 	}
+
+	// UnlistedEntry is a valid entry that is not used: the configuration does not
+	// name its service, or another entry has its ID.
+	UnlistedEntry struct {
+		Name    string
+		ID      TargetID
+		Service string
+		// Name of the other entry; empty if the configuration does not name the
+		// service.
+		Listed string
+	}
 )
 
 // Compare returns -1, 0 or 1 if p is before q, equal to q or after q.
