hsdirect: a reader that was idle reports the store available after a requested list

Cause: the control task and the reader task each keep whether the store is available. A host that becomes a reader with a request for a list counts the store as unavailable until a call succeeds; the idle reader task took only the role from that message, saw no change when the call succeeded, and reported nothing, so that the host took itself for cut off.

Change: the task takes the request for a list from the message in either state.

--- a/internal/hsdirect/reader.go
+++ b/internal/hsdirect/reader.go
@@ -56,6 +56,7 @@
 		select {
 		case m := <-e.toReader:
 			active = m.read
+			r.noteRelist(m)
 		case <-ctx.Done():
 		}
 	}
@@ -75,22 +76,27 @@
 		}
 		return nil
 	})
-	wanted, relist := true, false
-	for wanted && !relist && ctx.Err() == nil {
+	last := readerMessage{read: true}
+	for last.read && !last.relist && ctx.Err() == nil {
 		select {
-		case m := <-r.e.toReader:
-			wanted, relist = m.read, m.relist
+		case last = <-r.e.toReader:
 		case <-ctx.Done():
 		}
 	}
 	cancel()
 	// The goroutine always returns nil.
 	_ = g.Wait()
-	if relist {
-		// The control task treats the store as unavailable until a call succeeds.
+	r.noteRelist(last)
+	return last.read
+}
+
+// noteRelist records what a request for a new list says about the store: the
+// control task treats it as unavailable until this task reports that a call has
+// succeeded.
+func (r *storeReader) noteRelist(m readerMessage) {
+	if m.relist {
 		r.storeAvailable = false
 	}
-	return wanted
 }
 
 // step makes one call to the store and passes the result to the control task.
--- a/internal/hsdirect/restore_test.go
+++ b/internal/hsdirect/restore_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/phuslu/log"
+	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 
 	"heatherstack.org/heatherstack/internal/hscode"
@@ -154,6 +155,39 @@
 	assert.Assert(t, store.lists-before <= limit, "%d lists, expected at most %d", store.lists-before, limit)
 }
 
+// TestRelistByNewReader guards against a store that counts as unavailable for good
+// although it answers: the control task asks a host for a list together with the
+// reader role, and waits for the report that a call has succeeded.
+func TestRelistByNewReader(t *testing.T) {
+	available := make(chan struct{})
+	close(available)
+	store := &fakeStore{available: available, state: hsfeed.Update{Revision: 5}}
+	for _, idle := range []bool{false, true} {
+		e := &EntryHost{
+			cfg:      Config{Store: store, Logger: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}},
+			toReader: make(chan readerMessage), toControl: make(chan controlMessage, 1000),
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+		var g errgroup.Group
+		g.Go(func() error { return e.runReader(ctx) })
+		if idle {
+			e.toReader <- readerMessage{}
+		}
+		e.toReader <- readerMessage{read: true, relist: true}
+		reported := false
+		for !reported && ctx.Err() == nil {
+			select {
+			case m := <-e.toControl:
+				reported = m.storeAvailableSet && m.storeAvailable
+			case <-ctx.Done():
+			}
+		}
+		cancel()
+		assert.NilError(t, g.Wait())
+		assert.Assert(t, reported, "idle before: %t", idle)
+	}
+}
+
 // TestPeerWithoutEra guards against a host that ignores changes of peers of the previous version, which send no era, or fetches from them again and again.
 func TestPeerWithoutEra(t *testing.T) {
 	core := NewCore(CoreConfig{Self: netip.MustParseAddr("10.0.0.1"), Zone: "a", Boot: 1})
