--- a/internal/hscode/hscode.go
+++ b/internal/hscode/hscode.go
@@ -186,7 +186,7 @@
 	{PlatformRead, "platform-read", "The platform could not be read.", "Check the platform; the current state stays in force."},
 	{PlatformStatus, "platform-status", "The platform answered with an unexpected HTTP status.", "Check the platform setting."},
 	{PlatformSize, "platform-size", "The platform's answer exceeds the size limit.", "See manifest-size."},
-	{PlatformHistory, "platform-history", "The store no longer has the changes that a watch requested; the whole state was read again.", "Nothing."},
+	{PlatformHistory, "platform-history", "The store no longer has the changes that a watch requested, or they are too large to be read at once; the whole state was read again.", "Nothing."},
 	{PlatformEntry, "platform-entry", "An entry of the store cannot be decoded or has a value that is out of range; it is not used.", "Find out which program wrote it; the path is its key."},
 	{PlatformOlder, "platform-older", "The store has a configuration that is older than the current one, or lacks the evacuation of a zone; the current state stays: the store was restored from a copy.", "Publish the current configuration again, or a newer one; write the evacuation again, or write and remove it."},
 	{PlatformDuplicate, "platform-duplicate", "Two entries of the store have the same target ID; one of them is not used.", "Find out which program wrote the entry that the path names, and remove it if the target did not."},
