--- a/internal/hsfeed/entrymap.go
+++ b/internal/hsfeed/entrymap.go
@@ -108,9 +108,6 @@
 	}
 }
 
-// isShared reports whether several entries have the same ID.
-func (m *entryMap[V]) isShared() bool { return m.count > len(m.byID) }
-
 // ids returns the IDs in ascending order.
 func (m *entryMap[V]) ids() []TargetID { return slices.Sorted(maps.Keys(m.byID)) }
 
