--- a/review/standin-3/client.go
+++ b/review/standin-3/client.go
@@ -55,6 +55,9 @@
 	openTimeout = 1400 * time.Millisecond
 	firstPort   = 20000
 	inBuffer    = 32
+	// resetWindow is the distance from the last acknowledgement up to which a reset
+	// counts on an open flow.
+	resetWindow = 76800
 )
 
 // openingTimes are the times at which a client sends the opening packet and its
@@ -165,6 +168,9 @@
 				break
 			}
 			if a.p.HasAny(hscookie.FlagReset) {
+				if !f.accepts(&a) {
+					continue
+				}
 				w.flowReset(f, &a, id)
 				return false
 			}
@@ -195,7 +201,7 @@
 	for end := time.Now().Add(d); time.Now().Before(end) && ctx.Err() == nil; {
 		a, ok := f.await(ctx, time.Until(end))
 		switch {
-		case ok && a.p.HasAny(hscookie.FlagReset):
+		case ok && a.p.HasAny(hscookie.FlagReset) && f.accepts(&a):
 			f.c.w.flowReset(f, &a, "")
 			return false
 		case ok && len(a.data) > 0:
@@ -206,6 +212,12 @@
 	return ctx.Err() == nil
 }
 
+// accepts reports whether a reset is near the last acknowledgement of the open flow.
+func (f *clientFlow) accepts(a *answer) bool {
+	d := int32(a.p.Seq - f.ack)
+	return d >= -resetWindow && d <= resetWindow
+}
+
 func (f *clientFlow) close() { f.write(f.packet(hscookie.FlagAck|hscookie.FlagFin), nil) }
 
 func (f *clientFlow) await(ctx context.Context, d time.Duration) (answer, bool) {
