review: case 11, no request is served after a restart

Cause: the decoder of the targets' entries matches names of fields without regard to case, so that entries of another program, in which each field of the deployment's pages is missing, take the place of all targets.

--- a/review/standin-3/client.go
+++ b/review/standin-3/client.go
@@ -46,8 +46,10 @@
 		seq    uint32
 		ack    uint32
 		cookie hscookie.Cookie
-		// Address of the server that has accepted the flow.
-		server netip.AddrPort
+		// Address of the server that has accepted the flow, or of the host that has
+		// refused it.
+		server  netip.AddrPort
+		refused bool
 	}
 )
 
@@ -133,6 +135,7 @@
 			continue
 		}
 		if a.p.HasAny(hscookie.FlagReset) {
+			f.refused, f.server = true, a.sender
 			f.c.w.rec.line("unopened", "%s was refused by %s", f, a.sender)
 			return false
 		}
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -53,6 +53,21 @@
 	deadline = 5 * time.Second
 	// longFlow is a number of requests that no flow reaches.
 	longFlow = 1000
+	// firstVersion is the version of the first configuration, changeInterval the time
+	// between two changes of it, and changeCount their number.
+	firstVersion   = 7
+	changeInterval = 8 * time.Second
+	changeCount    = 6
+	// Entries of another program: the largest size that the store takes, the time
+	// between two of them, and the number of their keys.
+	largeSize     = 1 << 20
+	largeInterval = 100 * time.Millisecond
+	largeCount    = 100
+	// downTime is the time for which all processes are down after the final fault, and
+	// recoveryTime the time within which requests have to be served again.
+	downTime     = 1200 * time.Millisecond
+	recoveryTime = 12 * time.Second
+	monitorPort  = 9100
 	// lateMargin is added to a bound before it counts as exceeded.
 	lateMargin = 500 * time.Millisecond
 )
@@ -145,6 +160,10 @@
 	// Clients do not begin at the same time.
 	hstask.Sleep(ctx, rand.N(c.w.sc.pause))
 	for ctx.Err() == nil {
+		count := c.w.tally.Load()
+		if count != nil {
+			count.sent.Add(1)
+		}
 		f := c.newFlow(deskRoute)
 		if !f.open(ctx) {
 			hstask.Sleep(ctx, 200*time.Millisecond)
@@ -152,6 +171,9 @@
 		}
 		n := 0
 		for n < c.w.sc.requests && f.request(ctx, deadline) {
+			if n == 0 && count != nil {
+				count.served.Add(1)
+			}
 			if n++; n < c.w.sc.requests && !f.rest(ctx, c.w.sc.pause) {
 				break
 			}
@@ -195,7 +217,7 @@
 }
 
 func scenarios() map[string]*scenario {
-	return map[string]*scenario{"route": routeScenario(), "flow": flowScenario(), "drain": drainScenario()}
+	return map[string]*scenario{"route": routeScenario(), "flow": flowScenario(), "drain": drainScenario(), "config": configScenario(), "recover": recoverScenario()}
 }
 
 // routeScenario has an entry of another program, with other names of the fields, that
@@ -267,3 +289,132 @@
 		},
 	}
 }
+
+// configScenario has an operator who replaces a route every few seconds, while another
+// program keeps writing large entries that cannot be read, under keys of its own.
+func configScenario() *scenario {
+	return &scenario{
+		contracts: plainContracts, bound: 3 * time.Second, work: 70 * time.Millisecond, pause: 200 * time.Millisecond, requests: 1,
+		play: func(ctx context.Context, w *world, trouble bool) {
+			ctx, stop := context.WithCancel(ctx)
+			var tasks errgroup.Group
+			if trouble {
+				tasks.Go(func() error {
+					w.writeLarge(ctx)
+					return nil
+				})
+			}
+			var current atomic.Pointer[change]
+			for _, c := range w.clients {
+				tasks.Go(func() error {
+					c.probe(ctx, &current)
+					return nil
+				})
+			}
+			hstask.Sleep(ctx, changeInterval)
+			for n := range byte(changeCount) {
+				at := netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, 1, n + 1}), 443)
+				version := firstVersion + 3*(uint64(n)+1)
+				w.publish(version, at)
+				current.Store(&change{version: version, route: at, acked: time.Now()})
+				w.rec.line("config", "the store has accepted version %d, which adds route %s", version, at)
+				hstask.Sleep(ctx, changeInterval)
+			}
+			stop()
+			// The tasks return no errors.
+			_ = tasks.Wait()
+		},
+	}
+}
+
+// change is a configuration that the store has accepted, with the route that it adds.
+type change struct {
+	version uint64
+	route   netip.AddrPort
+	acked   time.Time
+}
+
+// probe opens flows on the newest route.
+func (c *client) probe(ctx context.Context, current *atomic.Pointer[change]) {
+	for ; ctx.Err() == nil; hstask.Sleep(ctx, c.w.sc.pause) {
+		ch := current.Load()
+		if ch == nil {
+			continue
+		}
+		f := c.newFlow(ch.route)
+		age := time.Since(ch.acked)
+		if f.open(ctx) {
+			f.request(ctx, deadline)
+			f.close()
+		} else if f.refused && age > c.w.sc.bound+lateMargin {
+			c.w.rec.violation("CONFIG: %s was refused by %s, %.1f s after the store had accepted version %d with its route", f, f.server, age.Seconds(), ch.version)
+		}
+	}
+}
+
+// writeLarge writes one large entry after the other, in turn under a few keys.
+func (w *world) writeLarge(ctx context.Context) {
+	value := bytes.Repeat([]byte{0xff}, largeSize)
+	for n := 0; ctx.Err() == nil; n++ {
+		value[0] = byte(n)
+		t := w.servers[0].entry
+		t.ID = hsfeed.TargetID(0x2000 + n%largeCount)
+		t.Name = fmt.Sprintf("mon-%x", uint64(t.ID))
+		key, _ := platform.Format{}.EncodeEvent(&hsfeed.Event{Target: &t})
+		w.store.Put(key, bytes.Clone(value))
+		if n%50 == 0 {
+			w.rec.line("foreign", "another program has written %d entries of %d bytes", n+1, largeSize)
+		}
+		hstask.Sleep(ctx, largeInterval)
+	}
+}
+
+// recoverScenario has entries of another program, with other names of the fields, that
+// give each server with the port of that program, and a final fault right after a
+// configuration was accepted.
+func recoverScenario() *scenario {
+	return &scenario{
+		contracts: plainContracts, bound: 3 * time.Second, work: 70 * time.Millisecond, pause: 100 * time.Millisecond, requests: 1,
+		play: func(ctx context.Context, w *world, trouble bool) {
+			var before, after tally
+			w.tally.Store(&before)
+			hstask.Sleep(ctx, 8*time.Second)
+			for n := range w.servers {
+				if !trouble {
+					break
+				}
+				t := w.servers[n].entry
+				t.Name = fmt.Sprintf("mon-%x", uint64(t.ID))
+				t.Address = netip.AddrPortFrom(t.Address.Addr(), monitorPort)
+				t.StartUnixMilli = time.Now().UnixMilli()
+				w.writeForeign(&t, otherNames)
+			}
+			w.publish(firstVersion + 1)
+			w.rec.line("config", "the store has accepted version %d", firstVersion+1)
+			w.tally.Store(nil)
+			for _, h := range w.hosts {
+				h.kill()
+			}
+			w.rec.line("kill", "all processes are killed")
+			hstask.Sleep(ctx, downTime)
+			for _, h := range w.hosts {
+				if err := h.start(); err != nil {
+					w.rec.problem("%v", err)
+				}
+			}
+			w.rec.line("start", "all processes are started")
+			hstask.Sleep(ctx, recoveryTime)
+			w.tally.Store(&after)
+			hstask.Sleep(ctx, 8*time.Second)
+			w.rec.line("tally", "served before the final fault: %d of %d; sent later than %s after the machines were back: %d of %d",
+				before.served.Load(), before.sent.Load(), recoveryTime, after.served.Load(), after.sent.Load())
+			switch {
+			case 4*before.served.Load() < before.sent.Load() || after.sent.Load() == 0:
+				w.rec.problem("too few requests were sent, or served before the final fault")
+			case 4*after.served.Load() < after.sent.Load():
+				w.rec.violation("RECOVER: %d of %d requests are served that were sent later than %s after the machines were back; before the final fault, %d of %d",
+					after.served.Load(), after.sent.Load(), recoveryTime, before.served.Load(), before.sent.Load())
+			}
+		},
+	}
+}
--- a/review/standin-3/world.go
+++ b/review/standin-3/world.go
@@ -39,6 +39,8 @@
 		lastID  atomic.Uint64
 		// True from the time at which results count.
 		judging atomic.Bool
+		// Counts the requests that clients begin now; nil if they don't count.
+		tally atomic.Pointer[tally]
 
 		mu sync.Mutex
 		// Open flows by the client's end.
@@ -49,8 +51,18 @@
 	host struct {
 		zone     string
 		settings hsdirect.Settings
-		cmd      *exec.Cmd
-		failed   atomic.Int32
+		// Program, path of the settings file, and file for the log.
+		binary string
+		path   string
+		log    *os.File
+		cmd    *exec.Cmd
+		failed atomic.Int32
+	}
+
+	// tally counts the requests of clients, and those that were served.
+	tally struct {
+		sent   atomic.Int64
+		served atomic.Int64
 	}
 
 	// plainHeader removes the headers of the answers of the store that the pages do
@@ -117,14 +129,7 @@
 			return err
 		}
 	}
-	w.store.Publish(&hsfeed.Event{Configuration: &hsfeed.Configuration{
-		Version: 7, IdleTimeout: 15 * time.Second,
-		Routes: []hsfeed.Route{newRoute(deskRoute, desk, 1), newRoute(vaultRoute, vault, 2)},
-		Services: []hsfeed.Service{
-			{Name: desk, HealthPath: "/health", MaxConnections: 2000},
-			{Name: vault, HealthPath: "/health", MaxConnections: 2000},
-		},
-	}})
+	w.publish(firstVersion)
 	for n, zone := range []string{zones[0], zones[0], zones[1], zones[1], zones[1], zones[2]} {
 		if err := w.addHost(ctx, binary, folder, zone, byte(n+1)); err != nil {
 			return err
@@ -147,6 +152,22 @@
 	return nil
 }
 
+// publish writes a configuration with the given routes of race-desk beside the others.
+func (w *world) publish(version uint64, added ...netip.AddrPort) {
+	c := &hsfeed.Configuration{
+		Version: version, IdleTimeout: 15 * time.Second,
+		Routes: []hsfeed.Route{newRoute(deskRoute, desk, 1), newRoute(vaultRoute, vault, 2)},
+		Services: []hsfeed.Service{
+			{Name: desk, HealthPath: "/health", MaxConnections: 2000},
+			{Name: vault, HealthPath: "/health", MaxConnections: 2000},
+		},
+	}
+	for _, at := range added {
+		c.Routes = append(c.Routes, newRoute(at, desk, 1))
+	}
+	w.store.Publish(&hsfeed.Event{Configuration: c})
+}
+
 func newRoute(at netip.AddrPort, service string, priority int) hsfeed.Route {
 	return hsfeed.Route{
 		Address: at, Shares: []hsfeed.Share{{Service: service, Weight: 1}},
@@ -201,13 +222,9 @@
 	if err != nil {
 		return fmt.Errorf("log: %w", err)
 	}
-	h.cmd = exec.Command(binary)
-	h.cmd.Env = append(os.Environ(), platform.Format{}.SettingsVariable()+"="+path)
-	h.cmd.Stdout, h.cmd.Stderr = log, log
-	// The process ends with the one that started it.
-	h.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := h.cmd.Start(); err != nil {
-		return fmt.Errorf("host: %w", err)
+	h.binary, h.path, h.log = binary, path, log
+	if err := h.start(); err != nil {
+		return err
 	}
 	h.failed.Store(maxFailed)
 	w.hosts = append(w.hosts, h)
@@ -218,6 +235,26 @@
 	return nil
 }
 
+// start starts the process of the host.
+func (h *host) start() error {
+	h.cmd = exec.Command(h.binary)
+	h.cmd.Env = append(os.Environ(), platform.Format{}.SettingsVariable()+"="+h.path)
+	h.cmd.Stdout, h.cmd.Stderr = h.log, h.log
+	// The process ends with the one that started it.
+	h.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := h.cmd.Start(); err != nil {
+		return fmt.Errorf("host: %w", err)
+	}
+	return nil
+}
+
+// kill kills the process of the host.
+func (h *host) kill() {
+	_ = h.cmd.Process.Kill()
+	// A killed process returns an error.
+	_ = h.cmd.Wait()
+}
+
 // probe checks the readiness of the host, as the routers do.
 func (h *host) probe(ctx context.Context) {
 	c := &http.Client{Timeout: probeInterval}
@@ -288,7 +325,10 @@
 // requestRun records a request that a server began to work on.
 func (w *world) requestRun(s *server, to netip.AddrPort, id string) {
 	w.rec.line("run", "%s: request %s", s.name(), id)
-	service := map[netip.AddrPort]string{deskRoute: desk, vaultRoute: vault}[to]
+	service := desk
+	if to == vaultRoute {
+		service = vault
+	}
 	if service != s.entry.Service {
 		w.rec.violation("ROUTE: request %s to %s, a route of %s only, was run by %s", id, to, service, s.name())
 	}
@@ -317,8 +357,6 @@
 // stop ends all hosts.
 func (w *world) stop() {
 	for _, h := range w.hosts {
-		_ = h.cmd.Process.Kill()
-		// A killed process returns an error.
-		_ = h.cmd.Wait()
+		h.kill()
 	}
 }
