--- a/Makefile
+++ b/Makefile
@@ -54,8 +54,8 @@
 place: ## compare placement policies for new flows in the load model
 	go run ./cmd/hslab place
 
-bench: ## run the benchmarks of the packet codec and of forwarding decisions
-	go test -run '^$$' -bench . -benchmem ./internal/hspacket ./internal/hsowner ./internal/hsrank ./internal/hsflow
+bench: ## run the benchmarks of the packet codec, the documents of the deployment and forwarding decisions
+	go test -run '^$$' -bench . -benchmem ./platform ./internal/hspacket ./internal/hsowner ./internal/hsrank ./internal/hsflow
 
 fuzz: ## fuzz the codecs, peers' messages and the store's items for a minute each
 	go test -run '^$$' -fuzz FuzzDecode -fuzztime 60s ./internal/hspacket
